--- /dev/null
+++ b/Makefile
@@ -0,0 +1,80 @@
+# cactusmast. README.md explains the targets.
+
+BUILD ?= build
+CXX ?= g++
+PACKAGES = glib-2.0 gio-2.0 gio-unix-2.0 libsoup-3.0 yaml-cpp
+OPT ?= -O2 -g1
+SANITIZE ?=
+CXXFLAGS += -std=c++17 $(OPT) $(SANITIZE) -Wall -Wextra -Werror -I. \
+  -DBOOST_LOG_DYN_LINK $(shell pkg-config --cflags $(PACKAGES))
+LDFLAGS += $(SANITIZE)
+CORE_LIBS = -lxxhash -lyaml-cpp
+SHELL_LIBS = $(shell pkg-config --libs $(PACKAGES)) -lxxhash \
+  -lprometheus-cpp-core -lboost_log -lboost_thread -lboost_system -ldocopt \
+  -lpthread
+
+CORE_SOURCES := $(wildcard cactusmast/*.cc)
+SHELL_SOURCES := $(wildcard shell/*.cc)
+TEST_SOURCES := $(wildcard cactusmast/testing/*.cc)
+BENCH_SOURCES := $(wildcard bench/*_bench.cc)
+
+CORE_OBJECTS := $(CORE_SOURCES:%.cc=$(BUILD)/obj/%.o)
+SHELL_OBJECTS := $(SHELL_SOURCES:%.cc=$(BUILD)/obj/%.o)
+TEST_OBJECTS := $(TEST_SOURCES:%.cc=$(BUILD)/obj/%.o)
+
+CORE_LIB := $(BUILD)/libcactusmast.a
+SHELL_LIB := $(BUILD)/libcactusmast_shell.a
+PROGRAMS := $(addprefix $(BUILD)/, cactusmast-entry cactusmast-guard \
+  cactusmast platform-table backend-server)
+
+.PHONY: all programs test test-all demo bench lint format format-check deps \
+  generate sanitize clean
+
+all: programs
+
+programs: $(PROGRAMS)
+
+deps:
+	@scripts/install_deps.sh
+
+$(BUILD)/obj/%.o: %.cc
+	@mkdir -p $(@D)
+	@echo CXX $<
+	@$(CXX) $(CXXFLAGS) -MMD -MP -c $< -o $@
+
+$(CORE_LIB): $(CORE_OBJECTS)
+	@rm -f $@
+	@ar rcs $@ $^
+
+$(SHELL_LIB): $(SHELL_OBJECTS)
+	@rm -f $@
+	@ar rcs $@ $^
+
+$(BUILD)/cactusmast-entry: $(BUILD)/obj/cmd/entry_main.o $(SHELL_LIB) $(CORE_LIB)
+	@$(CXX) $(LDFLAGS) $^ $(SHELL_LIBS) -o $@
+
+$(BUILD)/cactusmast-guard: $(BUILD)/obj/cmd/guard_main.o $(SHELL_LIB) $(CORE_LIB)
+	@$(CXX) $(LDFLAGS) $^ $(SHELL_LIBS) -o $@
+
+$(BUILD)/cactusmast: $(BUILD)/obj/cmd/cactusmast_main.o $(SHELL_LIB) $(CORE_LIB)
+	@$(CXX) $(LDFLAGS) $^ $(SHELL_LIBS) -o $@
+
+$(BUILD)/platform-table: $(BUILD)/obj/standins/platform_table_main.o $(SHELL_LIB) \
+  $(CORE_LIB)
+	@$(CXX) $(LDFLAGS) $^ $(SHELL_LIBS) -o $@
+
+$(BUILD)/backend-server: $(BUILD)/obj/standins/backend_server_main.o $(SHELL_LIB) \
+  $(CORE_LIB)
+	@$(CXX) $(LDFLAGS) $^ $(SHELL_LIBS) -o $@
+
+generate: schema/wire.fbs
+	flatc --cpp --gen-object-api --object-suffix _msg --scoped-enums \
+	  --cpp-std c++17 -o cactusmast $<
+
+demo: programs
+	@scripts/demo.sh $(BUILD)
+
+clean:
+	rm -rf $(BUILD)
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/cactusmast/config_agent.cc
@@ -0,0 +1,483 @@
+#include "cactusmast/config_agent.h"
+
+#include <array>
+#include <cstdio>
+#include <nlohmann/json.hpp>
+
+namespace cactusmast {
+namespace {
+
+using nlohmann::json;
+
+constexpr char kVersionKey[] = "config/version";
+// Between attempts of one step while the table does not answer.
+constexpr duration kRetryDelay = std::chrono::milliseconds(200);
+constexpr char kDocumentKey[] = "config/document";
+constexpr std::array<std::string_view, size_t(change_action::Count)>
+  kActions = { "put_profile", "retire_profile", "put_team" };
+
+const table_row*
+FindRow(const table_reply& aReply, const std::string& aKey)
+{
+  for (const table_row& row : aReply.mRows) {
+    if (row.mKey == aKey) {
+      return &row;
+    }
+  }
+  return nullptr;
+}
+
+uint64_t
+ParseVersion(const std::string& aText)
+{
+  uint64_t version = 0;
+  for (char c : aText) {
+    if (c < '0' || c > '9') {
+      return 0;
+    }
+    version = version * 10 + uint64_t(c - '0');
+  }
+  return version;
+}
+
+json
+Described(const deployment_config& aConfig, const config_change& aChange)
+{
+  if (aChange.mAction == change_action::PutTeam) {
+    auto found = aConfig.mTeams.find(aChange.mTeam.mName);
+    return found == aConfig.mTeams.end()
+             ? json()
+             : json::parse(SerializeTeam(found->second));
+  }
+  auto found = aConfig.mProfiles.find(aChange.mProfile.mName);
+  return found == aConfig.mProfiles.end()
+           ? json()
+           : json::parse(SerializeProfile(found->second));
+}
+
+uint64_t
+RevisionOf(const deployment_config& aConfig, const config_change& aChange)
+{
+  auto found = aConfig.mProfiles.find(aChange.mProfile.mName);
+  return found == aConfig.mProfiles.end() ? 0 : found->second.mRevision;
+}
+
+json
+ChangeRecord(const config_change& aChange, int64_t aWallSeconds)
+{
+  bool ofTeam = aChange.mAction == change_action::PutTeam;
+  return { { "operation", aChange.mOperation },
+           { "who", aChange.mWho },
+           { "when", aWallSeconds },
+           { "reason", aChange.mReason },
+           { "action", Name(aChange.mAction) },
+           { "name", ofTeam ? aChange.mTeam.mName : aChange.mProfile.mName } };
+}
+
+} // namespace
+
+std::string_view
+Name(change_action aAction)
+{
+  return kActions[size_t(aAction) % kActions.size()];
+}
+
+std::string
+AuditKey(uint64_t aVersion)
+{
+  char buffer[40];
+  std::snprintf(buffer,
+                sizeof buffer,
+                "audit/%020llu",
+                static_cast<unsigned long long>(aVersion));
+  return buffer;
+}
+
+config_agent::config_agent(config_options aOptions,
+                           table_store& aTable,
+                           event_sink& aEvents,
+                           config_listener& aListener,
+                           config_safeguards aSafeguards)
+  : mOptions(aOptions)
+  , mTable(aTable)
+  , mEvents(aEvents)
+  , mListener(aListener)
+  , mSafeguards(aSafeguards)
+{
+}
+
+bool
+config_agent::Fresh(instant aNow) const
+{
+  return mTableSeen && aNow - mLastConfirmed <= mOptions.mStaleAfter;
+}
+
+void
+config_agent::Tick(instant aNow, int64_t aWallSeconds)
+{
+  mNow = aNow;
+  if (mRetryAt.count() > 0 && aNow >= mRetryAt) {
+    RetryStep();
+  }
+  if (aNow >= mNextPoll && mPollRequest == 0) {
+    mNextPoll = aNow + mOptions.mPollInterval;
+    mPollRequest = mTable.Read(kVersionKey, 1, false);
+  }
+  if (Loaded() && !Fresh(aNow) && !mStaleReported) {
+    mStaleReported = true;
+    mEvents.Emit(event_code::ConfigStale,
+                 { { "version", std::to_string(mConfig.mVersion) } });
+  }
+  while (!mPending.empty() && aNow >= mPending.front().mDeadline) {
+    bool written = mStep == step::Commit || mStep == step::ReadBack;
+    Refuse(error_code::Unavailable,
+           written ? run_state::Unknown : run_state::NotRun,
+           "the table does not answer; see the audit trail for operation " +
+             mPending.front().mChange.mOperation,
+           aWallSeconds);
+  }
+}
+
+void
+config_agent::Change(const config_change& aChange, instant aNow)
+{
+  if (mPending.size() >= mOptions.mMaxPendingChanges) {
+    throw failure(error_code::Overloaded,
+                  "change configuration",
+                  "",
+                  "too many changes wait",
+                  run_state::NotRun,
+                  std::chrono::seconds(1));
+  }
+  mPending.push_back({ aChange, aNow + mOptions.mChangeTimeout });
+  if (mStep == step::Idle) {
+    StartChange();
+  }
+}
+
+void
+config_agent::StartChange()
+{
+  mStep = step::ReadCurrent;
+  mChangeRequest = mTable.Read(kDocumentKey, 1, false);
+}
+
+bool
+config_agent::OnTableReply(const table_reply& aReply,
+                           instant aNow,
+                           int64_t aWallSeconds)
+{
+  mNow = aNow;
+  if (aReply.mRequest == 0) {
+    return false;
+  }
+  if (aReply.mRequest == mPollRequest) {
+    mPollRequest = 0;
+    OnPolled(aReply, aNow);
+    return true;
+  }
+  if (aReply.mRequest == mDocumentRequest) {
+    mDocumentRequest = 0;
+    OnDocument(aReply);
+    return true;
+  }
+  if (aReply.mRequest == mInitialRequest) {
+    mInitialRequest = 0; // the next poll finds it, whoever wrote it
+    return true;
+  }
+  if (aReply.mRequest != mChangeRequest) {
+    return false;
+  }
+  mChangeRequest = 0;
+  switch (mStep) {
+    case step::ReadCurrent:
+      OnCurrent(aReply, aWallSeconds);
+      break;
+    case step::Commit:
+      OnCommitted(aReply);
+      break;
+    case step::ReadBack:
+      OnReadBack(aReply);
+      break;
+    case step::Idle:
+      break;
+  }
+  return true;
+}
+
+void
+config_agent::OnPolled(const table_reply& aReply, instant aNow)
+{
+  if (aReply.mStatus != table_status::Ok) {
+    return;
+  }
+  mTableSeen = true;
+  mLastConfirmed = aNow;
+  if (mStaleReported) {
+    mStaleReported = false;
+    mEvents.Emit(event_code::ConfigFresh,
+                 { { "version", std::to_string(mConfig.mVersion) } });
+  }
+  const table_row* row = FindRow(aReply, kVersionKey);
+  if (row == nullptr) {
+    CommitInitial();
+    return;
+  }
+  if (ParseVersion(row->mValue) > mConfig.mVersion && mDocumentRequest == 0) {
+    mDocumentRequest = mTable.Read(kDocumentKey, 1, false);
+  }
+}
+
+void
+config_agent::CommitInitial()
+{
+  if (mInitialRequest != 0) {
+    return;
+  }
+  deployment_config first;
+  first.mVersion = 1;
+  first.mShardCount = mOptions.mInitialShardCount;
+  mInitialRequest =
+    mTable.Commit({ { kVersionKey, "1", 0, false },
+                    { kDocumentKey, first.Serialize(), 0, false } });
+}
+
+void
+config_agent::OnDocument(const table_reply& aReply)
+{
+  const table_row* row = FindRow(aReply, kDocumentKey);
+  if (aReply.mStatus == table_status::Ok && row != nullptr) {
+    Take(row->mValue);
+  }
+}
+
+void
+config_agent::OnPushed(uint64_t aVersion, const std::string& aDocument)
+{
+  if (aVersion > mConfig.mVersion || !mSafeguards.mMonotonicVersion) {
+    Take(aDocument);
+  }
+}
+
+void
+config_agent::Take(const std::string& aDocument)
+{
+  result<deployment_config> parsed = deployment_config::Parse(aDocument);
+  if (!parsed.Ok()) {
+    mEvents.Emit(event_code::ConfigUnreadable,
+                 { { "text", parsed.Error().what() } });
+    return;
+  }
+  bool newer = parsed.Value().mVersion > mConfig.mVersion;
+  if (!newer && mSafeguards.mMonotonicVersion) {
+    return;
+  }
+  mConfig = std::move(parsed.Value());
+  mDocument = aDocument;
+  mEvents.Emit(event_code::ConfigInForce,
+               { { "version", std::to_string(mConfig.mVersion) } });
+  mListener.OnConfigInForce(mConfig);
+}
+
+deployment_config
+config_agent::Apply(const deployment_config& aBase) const
+{
+  const config_change& change = mPending.front().mChange;
+  deployment_config next = aBase;
+  next.mVersion++;
+  if (change.mAction == change_action::PutTeam) {
+    next.mTeams[change.mTeam.mName] = change.mTeam;
+    return next;
+  }
+  uint64_t current = RevisionOf(aBase, change);
+  if (mSafeguards.mCompareRevision && current != change.mExpectedRevision) {
+    throw failure(error_code::Conflict,
+                  "change configuration",
+                  "operator",
+                  "profile " + change.mProfile.mName + " is at revision " +
+                    std::to_string(current) + ", not " +
+                    std::to_string(change.mExpectedRevision) +
+                    "; now: " + Described(aBase, change).dump());
+  }
+  profile& target = next.mProfiles[change.mProfile.mName];
+  if (change.mAction == change_action::RetireProfile) {
+    if (current == 0) {
+      throw failure(error_code::NotFound,
+                    "change configuration",
+                    "operator",
+                    "no profile " + change.mProfile.mName);
+    }
+    target.mRetired = true;
+  } else {
+    target = change.mProfile;
+  }
+  target.mRevision = current + 1;
+  return next;
+}
+
+std::string
+config_agent::AuditRow(const deployment_config& aBase,
+                       const deployment_config& aNext,
+                       int64_t aWallSeconds) const
+{
+  const config_change& change = mPending.front().mChange;
+  json row = ChangeRecord(change, aWallSeconds);
+  row["outcome"] = "accepted";
+  row["version"] = aNext.mVersion;
+  row["from_revision"] = RevisionOf(aBase, change);
+  row["to_revision"] = RevisionOf(aNext, change);
+  row["before"] = Described(aBase, change);
+  row["after"] = Described(aNext, change);
+  return row.dump();
+}
+
+void
+config_agent::OnCurrent(const table_reply& aReply, int64_t aWallSeconds)
+{
+  if (aReply.mStatus != table_status::Ok) {
+    mRetryAt = mNow + kRetryDelay;
+    return;
+  }
+  const table_row* row = FindRow(aReply, kDocumentKey);
+  if (row == nullptr) {
+    Refuse(error_code::Unavailable,
+           run_state::NotRun,
+           "the table holds no configuration yet",
+           aWallSeconds);
+    return;
+  }
+  try {
+    deployment_config base = deployment_config::Parse(row->mValue).Value();
+    mNext = Apply(base);
+    mNextRevision = RevisionOf(mNext, mPending.front().mChange);
+    mWrites = {
+      { kVersionKey, std::to_string(mNext.mVersion), std::nullopt, false },
+      { kDocumentKey, mNext.Serialize(), row->mVersion, false },
+      { AuditKey(mNext.mVersion),
+        AuditRow(base, mNext, aWallSeconds),
+        0,
+        false },
+    };
+    SubmitCommit();
+  } catch (const failure& error) {
+    Refuse(error.Code(), run_state::NotRun, error.what(), aWallSeconds);
+  }
+}
+
+void
+config_agent::SubmitCommit()
+{
+  mStep = step::Commit;
+  mChangeRequest = mTable.Commit(mWrites);
+}
+
+void
+config_agent::OnCommitted(const table_reply& aReply)
+{
+  if (aReply.mStatus == table_status::Ok) {
+    Finish({ mPending.front().mChange.mToken,
+             true,
+             mNext.mVersion,
+             mNextRevision,
+             error_code::None,
+             run_state::Run,
+             "" });
+    return;
+  }
+  // A conflict may be this change's own earlier commit whose reply was lost,
+  // so both cases look at who holds the version.
+  if (!mSafeguards.mReadBack) {
+    StartChange();
+    return;
+  }
+  mStep = step::ReadBack;
+  mRetryAt =
+    aReply.mStatus == table_status::Conflict ? mNow : mNow + kRetryDelay;
+}
+
+void
+config_agent::RetryStep()
+{
+  mRetryAt = {};
+  if (mStep == step::ReadCurrent) {
+    StartChange();
+  } else if (mStep == step::ReadBack) {
+    mChangeRequest = mTable.Read(AuditKey(mNext.mVersion), 1, false);
+  }
+}
+
+void
+config_agent::OnReadBack(const table_reply& aReply)
+{
+  if (aReply.mStatus != table_status::Ok) {
+    mRetryAt = mNow + kRetryDelay;
+    return;
+  }
+  const table_row* row = FindRow(aReply, AuditKey(mNext.mVersion));
+  if (row == nullptr) {
+    // Not written, or not yet: the same conditional commit again succeeds at
+    // most once.
+    SubmitCommit();
+    return;
+  }
+  json holder = json::parse(row->mValue, nullptr, false);
+  bool mine = holder.is_object() && holder.value("operation", "") ==
+                                      mPending.front().mChange.mOperation;
+  if (!mine) {
+    StartChange();
+    return;
+  }
+  Finish({ mPending.front().mChange.mToken,
+           true,
+           mNext.mVersion,
+           mNextRevision,
+           error_code::None,
+           run_state::Run,
+           "" });
+}
+
+void
+config_agent::Refuse(error_code aCode,
+                     run_state aRun,
+                     const std::string& aText,
+                     int64_t aWallSeconds)
+{
+  const config_change& change = mPending.front().mChange;
+  json row = ChangeRecord(change, aWallSeconds);
+  row["outcome"] = aRun == run_state::Unknown ? "unknown" : "refused";
+  row["error"] = Name(aCode);
+  row["text"] = aText;
+  // Best effort: an outage of the table that refuses a change also keeps its
+  // row out; the log has it either way.
+  mTable.Commit(
+    { { "refused/" + std::to_string(aWallSeconds) + "-" + change.mOperation,
+        row.dump(),
+        0,
+        false } });
+  Finish({ change.mToken, false, 0, 0, aCode, aRun, aText });
+}
+
+void
+config_agent::Finish(const change_outcome& aOutcome)
+{
+  config_change change = mPending.front().mChange;
+  mPending.pop_front();
+  mStep = step::Idle;
+  mChangeRequest = 0;
+  mRetryAt = {};
+  mEvents.Emit(aOutcome.mAccepted ? event_code::ConfigAccepted
+                                  : event_code::ConfigRefused,
+               { { "who", change.mWho },
+                 { "operation", change.mOperation },
+                 { "version", std::to_string(aOutcome.mVersion) },
+                 { "text", aOutcome.mText } });
+  if (aOutcome.mAccepted) {
+    Take(mNext.Serialize());
+  }
+  mListener.OnChangeDone(aOutcome);
+  if (!mPending.empty()) {
+    StartChange();
+  }
+}
+
+} // namespace cactusmast
--- /dev/null
+++ b/cactusmast/entry_membership.cc
@@ -0,0 +1,642 @@
+// The membership side of entry_node: who owns which shard, which entries
+// there are, and the rows in the platform's table that tell.
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "cactusmast/entry_node.h"
+
+namespace cactusmast {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr uint32_t kMaxEntryRows = 256;
+constexpr milliseconds kRosterInterval{ 200 };
+constexpr milliseconds kEntriesInterval{ 5000 };
+constexpr milliseconds kDialInterval{ 1000 };
+
+std::string
+RosterKey(uint32_t aShard)
+{
+  return "roster/" + std::to_string(aShard);
+}
+
+void
+MergeKnown(std::vector<known_worker>* aInto, const known_worker& aWorker)
+{
+  for (known_worker& present : *aInto) {
+    if (present.mName == aWorker.mName &&
+        present.mIncarnation == aWorker.mIncarnation) {
+      present.mLastAlive = std::max(present.mLastAlive, aWorker.mLastAlive);
+      return;
+    }
+  }
+  aInto->push_back(aWorker);
+}
+
+} // namespace
+
+void
+entry_node::NoteSeen(const peer_identity& aIdentity, instant aNow)
+{
+  MergeKnown(&Shard(aIdentity.mShard).mSeen,
+             { aIdentity.mName, aIdentity.mIncarnation, aNow });
+}
+
+bool
+entry_node::IsLiveEntry(const peer_row& aRow, instant aNow) const
+{
+  return aRow.mIdentity.mRole == process_role::Entry && aRow.mStatusKnown &&
+         aNow - aRow.mLastHeard < mOptions.mPeerTimeout;
+}
+
+peer_id
+entry_node::OwnerPeer(uint32_t aShard, instant aNow) const
+{
+  for (const auto& [peer, row] : mPeers) {
+    if (!IsLiveEntry(row, aNow)) {
+      continue;
+    }
+    for (const wire::owned_shard& owned : row.mStatus.shards) {
+      if (owned.shard() == aShard) {
+        return peer;
+      }
+    }
+  }
+  return 0;
+}
+
+bool
+entry_node::IsCandidate(uint32_t aShard, instant aNow) const
+{
+  uint64_t own = RendezvousWeight(aShard, mOptions.mName);
+  for (const auto& [peer, row] : mPeers) {
+    bool rival = IsLiveEntry(row, aNow) && !row.mStatus.draining;
+    if (rival && RendezvousWeight(aShard, row.mIdentity.mName) > own) {
+      return false;
+    }
+  }
+  return true;
+}
+
+peer_id
+entry_node::Successor(uint32_t aShard, instant aNow) const
+{
+  peer_id best = 0;
+  uint64_t bestWeight = 0;
+  for (const auto& [peer, row] : mPeers) {
+    if (!IsLiveEntry(row, aNow) || row.mStatus.draining) {
+      continue;
+    }
+    uint64_t weight = RendezvousWeight(aShard, row.mIdentity.mName);
+    if (best == 0 || weight > bestWeight) {
+      best = peer;
+      bestWeight = weight;
+    }
+  }
+  return best;
+}
+
+void
+entry_node::RunElections(instant aNow)
+{
+  bool settled = aNow - mStarted >= mOptions.mSettleTime;
+  if (!mConfig.Loaded() || !settled) {
+    return;
+  }
+  for (uint32_t number = 0; number < ShardCount(); number++) {
+    shard_row& shard = Shard(number);
+    if (shard.mOwner != nullptr) {
+      ResolveConflict(number, aNow);
+      continue;
+    }
+    bool claimable =
+      !mDraining && OwnerPeer(number, aNow) == 0 && IsCandidate(number, aNow);
+    if (claimable && shard.mRosterRequest == 0) {
+      BeginClaim(number, aNow);
+    }
+  }
+}
+
+// The roster in the table names workers that may hold records and that this
+// process has never heard of.
+void
+entry_node::BeginClaim(uint32_t aShard, instant /*aNow*/)
+{
+  Shard(aShard).mRosterRequest = mTable.Read(RosterKey(aShard), 1, false);
+}
+
+void
+entry_node::OnRoster(uint32_t aShard, const table_reply& aReply, instant aNow)
+{
+  shard_row& shard = Shard(aShard);
+  shard.mRosterRequest = 0;
+  if (aReply.mStatus == table_status::Ok) {
+    shard.mRosterRead = true;
+    shard.mRoster.clear();
+    for (const table_row& row : aReply.mRows) {
+      json listed = json::parse(row.mValue, nullptr, false);
+      if (row.mKey != RosterKey(aShard) || !listed.is_array()) {
+        continue;
+      }
+      for (const json& worker : listed) {
+        int64_t age = mWallSeconds - worker.value("last", int64_t(0));
+        shard.mRoster.push_back(
+          { worker.value("name", ""),
+            worker.value("incarnation", uint64_t(0)),
+            aNow - std::chrono::seconds(std::max<int64_t>(0, age)) });
+      }
+    }
+  }
+  bool still = shard.mOwner == nullptr && !mDraining &&
+               OwnerPeer(aShard, aNow) == 0 && IsCandidate(aShard, aNow);
+  if (still) {
+    Claim(aShard, shard.mEpochSeen + 1, aNow);
+  }
+}
+
+std::vector<known_worker>
+entry_node::Known(uint32_t aShard, instant aNow) const
+{
+  const shard_row& shard = mShards.at(aShard);
+  std::vector<known_worker> known = shard.mSeen;
+  for (const known_worker& worker : shard.mRoster) {
+    MergeKnown(&known, worker);
+  }
+  bool neverRead = !shard.mRosterRead;
+  if (neverRead && known.empty()) {
+    // The table is away and this process is new: there may be workers with
+    // records that it cannot know of.
+    known.push_back({ "unlisted", 0, aNow });
+  }
+  duration retention = mOptions.mOwner.mJobs.mRetention;
+  known.erase(std::remove_if(known.begin(),
+                             known.end(),
+                             [&](const known_worker& aWorker) {
+                               return aWorker.mLastAlive + retention <= aNow;
+                             }),
+              known.end());
+  return known;
+}
+
+void
+entry_node::Claim(uint32_t aShard, uint64_t aEpoch, instant aNow)
+{
+  shard_row& shard = Shard(aShard);
+  owner_options options = mOptions.mOwner;
+  options.mShard = aShard;
+  shard.mOwner = std::make_unique<shard_owner>(options,
+                                               aEpoch,
+                                               Known(aShard, aNow),
+                                               mConfig.InForce(),
+                                               mNetwork,
+                                               *this,
+                                               mEvents,
+                                               mRandom,
+                                               aNow,
+                                               mSafeguards.mOwner);
+  shard.mStoredVersion = 0;
+  shard.mNextStore = aNow;
+  for (const auto& [peer, row] : mPeers) {
+    bool member = row.mIdentity.mRole == process_role::Guard &&
+                  row.mIdentity.mShard == aShard;
+    if (!member) {
+      continue;
+    }
+    shard.mOwner->Attach(peer, row.mIdentity, aNow);
+    if (row.mWorkerKnown) {
+      shard.mOwner->OnWorkerState(peer, row.mWorker);
+    }
+    PushConfig(peer);
+  }
+  mNextStatus = aNow; // others stop looking for an owner
+}
+
+void
+entry_node::ResolveConflict(uint32_t aShard, instant aNow)
+{
+  peer_id rival = OwnerPeer(aShard, aNow);
+  if (rival == 0) {
+    return;
+  }
+  uint32_t rivalWorkers = 0;
+  uint64_t rivalEpoch = 0;
+  const peer_row& row = mPeers.at(rival);
+  for (const wire::owned_shard& owned : row.mStatus.shards) {
+    if (owned.shard() == aShard) {
+      rivalWorkers = owned.workers();
+      rivalEpoch = owned.epoch();
+    }
+  }
+  shard_owner& owner = *Shard(aShard).mOwner;
+  uint32_t workers = owner.LeasedWorkers(aNow);
+  auto own = std::make_tuple(
+    workers, owner.Epoch(), RendezvousWeight(aShard, mOptions.mName));
+  auto other = std::make_tuple(
+    rivalWorkers, rivalEpoch, RendezvousWeight(aShard, row.mIdentity.mName));
+  if (own < other) {
+    StepDown(aShard, rival, aNow);
+  }
+}
+
+void
+entry_node::StepDown(uint32_t aShard, peer_id aSuccessor, instant aNow)
+{
+  shard_row& shard = Shard(aShard);
+  std::vector<shard_owner::moved_job> moved =
+    shard.mOwner->StepDown(aSuccessor, aNow);
+  shard.mEpochSeen = std::max(shard.mEpochSeen, shard.mOwner->Epoch());
+  AddCounters(shard.mOwner->Counters(), &shard.mPast);
+  shard.mOwner.reset();
+  for (shard_owner::moved_job& job : moved) {
+    bool waitedFor = false;
+    for (const waiter& waiting : job.mWaiters) {
+      auto request = mRequests.find(waiting.mToken);
+      if (request == mRequests.end()) {
+        continue;
+      }
+      if (request->second.mKind == request_kind::Submit) {
+        request->second.mSubmission = job.mSubmission;
+        waitedFor = true;
+      }
+    }
+    if (!waitedFor) {
+      // Nobody waits for it here; it still has to reach its new owner, which
+      // replies at once that it runs.
+      request_row row;
+      row.mKind = request_kind::Submit;
+      row.mTeam = job.mSubmission.mTeam;
+      row.mId = job.mSubmission.mId;
+      row.mSubmission = std::move(job.mSubmission);
+      row.mCreated = aNow;
+      row.mPendingSince = aNow;
+      row.mUntil = aNow;
+      row.mEverSent = true;
+      mRequests.emplace(mNextToken++, std::move(row));
+    }
+    for (const waiter& waiting : job.mWaiters) {
+      wire::job_reply_msg again;
+      again.error = uint8_t(error_code::Unavailable);
+      again.step = kRouteStep;
+      Answer(waiting.mToken, std::move(again));
+    }
+  }
+  // Requests that the owner still held in other ways look for the new one.
+  for (auto& [token, row] : mRequests) {
+    if (row.mState == request_state::Local &&
+        ShardOf(row.mId, ShardCount()) == aShard) {
+      row.mState = request_state::Pending;
+      row.mPendingSince = aNow;
+    }
+  }
+  mNextStatus = aNow;
+  SendStatus(aNow);
+}
+
+void
+entry_node::OnHandover(peer_id aPeer,
+                       const wire::handover_msg& aPart,
+                       instant aNow)
+{
+  (void)aPeer;
+  shard_row& shard = Shard(aPart.shard);
+  shard.mEpochSeen = std::max(shard.mEpochSeen, aPart.epoch);
+  if (shard.mOwner == nullptr) {
+    if (mDraining) {
+      return; // the shard's next owner asks the guards instead
+    }
+    Claim(aPart.shard, shard.mEpochSeen + 1, aNow);
+  }
+  shard.mOwner->OnHandover(aPart, aNow);
+}
+
+void
+entry_node::OnPeerStatus(peer_id aPeer,
+                         const wire::peer_status_msg& aStatus,
+                         instant aNow)
+{
+  peer_row& row = mPeers[aPeer];
+  row.mStatus = aStatus;
+  row.mStatusKnown = true;
+  for (const wire::owned_shard& owned : aStatus.shards) {
+    shard_row& shard = Shard(owned.shard());
+    shard.mEpochSeen = std::max(shard.mEpochSeen, owned.epoch());
+  }
+  if (aStatus.config_version < row.mPushedVersion) {
+    row.mPushedVersion = aStatus.config_version; // it restarted or lost it
+  }
+  PushConfig(aPeer);
+  for (uint32_t number = 0; number < ShardCount(); number++) {
+    if (Shard(number).mOwner != nullptr) {
+      ResolveConflict(number, aNow);
+    }
+  }
+}
+
+std::vector<std::string>
+entry_node::EntryAddresses() const
+{
+  std::vector<std::string> addresses;
+  addresses.push_back(mOptions.mAddress);
+  for (const auto& [name, address] : mEntryAddresses) {
+    if (name != mOptions.mName) {
+      addresses.push_back(address);
+    }
+  }
+  return addresses;
+}
+
+void
+entry_node::SendStatus(instant aNow)
+{
+  wire::peer_status_msg status;
+  for (const auto& [number, shard] : mShards) {
+    if (shard.mOwner != nullptr) {
+      status.shards.emplace_back(
+        number, shard.mOwner->LeasedWorkers(aNow), shard.mOwner->Epoch());
+    }
+  }
+  status.config_version = mConfig.InForce().mVersion;
+  status.draining = mDraining;
+  bool toGuards = aNow >= mNextGuardStatus;
+  if (toGuards) {
+    mNextGuardStatus = aNow + mOptions.mGuardStatusInterval;
+  }
+  wire::peer_status_msg forGuards;
+  forGuards.entries = EntryAddresses();
+  for (const auto& [peer, row] : mPeers) {
+    if (row.mIdentity.mRole == process_role::Entry) {
+      mNetwork.Send(peer, MakeMessage(wire::peer_status_msg(status)));
+    } else if (toGuards) {
+      mNetwork.Send(peer, MakeMessage(wire::peer_status_msg(forGuards)));
+    }
+  }
+}
+
+// Entries that have not been heard for a while are cut off, in case the link
+// went silent and a new one would work.
+void
+entry_node::KeepEntries(instant aNow)
+{
+  std::vector<peer_id> silent;
+  for (const auto& [peer, row] : mPeers) {
+    bool entry = row.mIdentity.mRole == process_role::Entry;
+    if (entry && aNow - row.mLastHeard >= mOptions.mPeerTimeout) {
+      silent.push_back(peer);
+    }
+  }
+  for (peer_id peer : silent) {
+    mEvents.Emit(event_code::PeerSilent,
+                 { { "peer", mPeers.at(peer).mIdentity.mName } });
+    OnPeerDown(peer, aNow);
+    mNetwork.Close(peer);
+  }
+  if (aNow < mNextDial) {
+    return;
+  }
+  mNextDial = aNow + kDialInterval;
+  std::vector<std::string> wanted = mOptions.mSeedEntries;
+  for (const auto& [name, address] : mEntryAddresses) {
+    wanted.push_back(address);
+  }
+  std::sort(wanted.begin(), wanted.end());
+  wanted.erase(std::unique(wanted.begin(), wanted.end()), wanted.end());
+  for (const std::string& address : wanted) {
+    bool connected = address == mOptions.mAddress;
+    for (const auto& [peer, row] : mPeers) {
+      bool entry = row.mIdentity.mRole == process_role::Entry;
+      connected = connected || (entry && row.mIdentity.mAddress == address);
+    }
+    // One of the two dials, so that they do not keep replacing each other's
+    // links.
+    if (!connected && mOptions.mAddress < address) {
+      mNetwork.Connect(address);
+    }
+  }
+}
+
+void
+entry_node::KeepRow(instant aNow)
+{
+  if (aNow >= mNextRow && mRowRequest == 0 && mWallSeconds > 0) {
+    mNextRow = aNow + mOptions.mRowInterval;
+    std::string key = "entry/" + mOptions.mName;
+    if (mDraining) {
+      mRowRequest = mTable.Commit({ { key, "", std::nullopt, true } });
+    } else {
+      json row = { { "name", mOptions.mName },
+                   { "address", mOptions.mAddress },
+                   { "incarnation", mOptions.mIncarnation },
+                   { "data_center", mOptions.mDataCenter },
+                   { "region", mOptions.mRegion },
+                   { "renewed", mWallSeconds } };
+      mRowRequest = mTable.Commit({ { key, row.dump(), std::nullopt, false } });
+    }
+  }
+  if (aNow >= mNextEntriesRead && mEntriesRequest == 0) {
+    mNextEntriesRead = aNow + kEntriesInterval;
+    mEntriesRequest = mTable.Read("entry/", kMaxEntryRows, false);
+  }
+}
+
+void
+entry_node::OnEntryRows(const table_reply& aReply, instant /*aNow*/)
+{
+  if (aReply.mStatus != table_status::Ok) {
+    return;
+  }
+  std::map<std::string, std::string> addresses;
+  for (const table_row& row : aReply.mRows) {
+    json listed = json::parse(row.mValue, nullptr, false);
+    if (!listed.is_object()) {
+      continue;
+    }
+    int64_t age = mWallSeconds - listed.value("renewed", int64_t(0));
+    if (age > 2 * mOptions.mRowLifeSeconds) {
+      // Left by an instance that failed; its name does not come back.
+      mTable.Commit({ { row.mKey, "", row.mVersion, true } });
+    } else if (age <= mOptions.mRowLifeSeconds) {
+      addresses[listed.value("name", "")] = listed.value("address", "");
+    }
+  }
+  for (const auto& [peer, row] : mPeers) {
+    if (row.mIdentity.mRole == process_role::Entry) {
+      addresses[row.mIdentity.mName] = row.mIdentity.mAddress;
+    }
+  }
+  bool changed = addresses != mEntryAddresses;
+  mEntryAddresses = std::move(addresses);
+  if (changed) {
+    mNextGuardStatus = {}; // guards learn of the new set with the next status
+  }
+}
+
+void
+entry_node::StoreRosters(instant aNow)
+{
+  for (auto& [number, shard] : mShards) {
+    if (shard.mOwner == nullptr || shard.mStoreRequest != 0 ||
+        aNow < shard.mNextStore ||
+        shard.mOwner->RosterVersion() == shard.mStoredVersion) {
+      continue;
+    }
+    shard.mNextStore = aNow + kRosterInterval;
+    shard.mStoringVersion = shard.mOwner->RosterVersion();
+    json listed = json::array();
+    for (const known_worker& worker : shard.mOwner->Roster()) {
+      int64_t age = std::chrono::duration_cast<std::chrono::seconds>(
+                      aNow - worker.mLastAlive)
+                      .count();
+      listed.push_back({ { "name", worker.mName },
+                         { "incarnation", worker.mIncarnation },
+                         { "last", mWallSeconds - age } });
+    }
+    shard.mStoreRequest = mTable.Commit(
+      { { RosterKey(number), listed.dump(), std::nullopt, false } });
+  }
+}
+
+void
+entry_node::OnTableReply(const table_reply& aReply, instant aNow)
+{
+  mNow = aNow;
+  bool down = aReply.mStatus == table_status::Unavailable;
+  if (down != mTableDown) {
+    mTableDown = down;
+    mEvents.Emit(
+      down ? event_code::TableUnavailable : event_code::TableAvailable, {});
+  }
+  if (mConfig.OnTableReply(aReply, aNow, mWallSeconds)) {
+    return;
+  }
+  if (aReply.mRequest == mRowRequest) {
+    mRowRequest = 0;
+    return;
+  }
+  if (aReply.mRequest == mEntriesRequest) {
+    mEntriesRequest = 0;
+    OnEntryRows(aReply, aNow);
+    return;
+  }
+  for (auto& [number, shard] : mShards) {
+    if (aReply.mRequest == shard.mRosterRequest) {
+      OnRoster(number, aReply, aNow);
+      return;
+    }
+    if (aReply.mRequest != shard.mStoreRequest) {
+      continue;
+    }
+    shard.mStoreRequest = 0;
+    if (aReply.mStatus == table_status::Ok) {
+      shard.mStoredVersion = shard.mStoringVersion;
+    }
+    // Without the table, workers are given work all the same; until the row
+    // can be written, only processes that saw them know that they may hold
+    // records.
+    if (shard.mOwner != nullptr) {
+      shard.mOwner->OnRosterStored(shard.mStoringVersion);
+    }
+    return;
+  }
+}
+
+std::vector<process_status>
+entry_node::Processes(instant aNow) const
+{
+  std::vector<process_status> made;
+  process_status own;
+  own.mRole = process_role::Entry;
+  own.mName = mOptions.mName;
+  own.mIncarnation = mOptions.mIncarnation;
+  own.mDataCenter = mOptions.mDataCenter;
+  own.mConfigVersion = mConfig.InForce().mVersion;
+  own.mDraining = mDraining;
+  made.push_back(own);
+  for (const auto& [peer, row] : mPeers) {
+    process_status status;
+    status.mRole = row.mIdentity.mRole;
+    status.mName = row.mIdentity.mName;
+    status.mIncarnation = row.mIdentity.mIncarnation;
+    status.mDataCenter = row.mIdentity.mDataCenter;
+    status.mShard = row.mIdentity.mShard;
+    if (status.mRole == process_role::Entry) {
+      if (!IsLiveEntry(row, aNow)) {
+        continue;
+      }
+      status.mConfigVersion = row.mStatus.config_version;
+      status.mDraining = row.mStatus.draining;
+    } else {
+      status.mConfigVersion = row.mWorker.config_version;
+      status.mDraining = row.mWorker.draining;
+      status.mSlots = row.mWorker.slots;
+      status.mRunning = row.mWorker.running;
+      status.mServices = row.mWorker.services;
+    }
+    made.push_back(std::move(status));
+  }
+  return made;
+}
+
+std::vector<shard_owner::worker_status>
+entry_node::Workers(instant aNow) const
+{
+  std::vector<shard_owner::worker_status> made;
+  for (const auto& [number, shard] : mShards) {
+    if (shard.mOwner == nullptr) {
+      continue;
+    }
+    for (auto& worker : shard.mOwner->Workers(aNow)) {
+      made.push_back(std::move(worker));
+    }
+  }
+  return made;
+}
+
+std::vector<entry_node::shard_status>
+entry_node::Shards(instant aNow) const
+{
+  std::vector<shard_status> made;
+  for (uint32_t number = 0; number < ShardCount(); number++) {
+    shard_status status;
+    status.mShard = number;
+    auto found = mShards.find(number);
+    peer_id owner = OwnerPeer(number, aNow);
+    if (found != mShards.end() && found->second.mOwner != nullptr) {
+      shard_owner& own = *found->second.mOwner;
+      status.mOwner = mOptions.mName;
+      status.mLocal = true;
+      status.mEpoch = own.Epoch();
+      status.mComplete = own.Complete();
+      status.mQueued = own.Dispatcher().Queue().Total();
+      status.mUndecided = own.Jobs().Undecided();
+      status.mWorkers = own.LeasedWorkers(aNow);
+    } else if (owner != 0) {
+      status.mOwner = mPeers.at(owner).mIdentity.mName;
+      for (const wire::owned_shard& owned : mPeers.at(owner).mStatus.shards) {
+        if (owned.shard() == number) {
+          status.mEpoch = owned.epoch();
+          status.mWorkers = owned.workers();
+        }
+      }
+    }
+    made.push_back(std::move(status));
+  }
+  return made;
+}
+
+owner_counters
+entry_node::Counters() const
+{
+  owner_counters sum;
+  for (const auto& [number, shard] : mShards) {
+    AddCounters(shard.mPast, &sum);
+    if (shard.mOwner != nullptr) {
+      AddCounters(shard.mOwner->Counters(), &sum);
+    }
+  }
+  return sum;
+}
+
+} // namespace cactusmast
--- /dev/null
+++ b/cactusmast/entry_node.cc
@@ -0,0 +1,713 @@
+#include "cactusmast/entry_node.h"
+
+#include <algorithm>
+
+// Peers, requests and their routing. Ownership, membership and rows in the
+// table are in entry_membership.cc.
+
+namespace cactusmast {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kRouteInterval{ 50 };
+// A forwarded request's answer is due at its end; after this much more it is
+// given up.
+constexpr std::chrono::seconds kForwardGrace{ 2 };
+
+std::string
+PeerName(const peer_identity& aIdentity)
+{
+  return aIdentity.mName + "/" + std::to_string(aIdentity.mIncarnation);
+}
+
+bool
+IsRouteReply(const wire::job_reply_msg& aReply)
+{
+  return aReply.error == uint8_t(error_code::Unavailable) &&
+         aReply.step == kRouteStep;
+}
+
+wire::job_reply_msg
+RouteReply()
+{
+  wire::job_reply_msg reply;
+  reply.error = uint8_t(error_code::Unavailable);
+  reply.step = kRouteStep;
+  return reply;
+}
+
+wire::job_reply_msg
+ErrorReply(const failure& aError)
+{
+  wire::job_reply_msg reply;
+  reply.error = uint8_t(aError.Code());
+  reply.text = aError.what();
+  reply.step = aError.Step();
+  reply.peer = aError.Peer();
+  reply.run = uint8_t(aError.Run());
+  reply.retry_after_ms = uint32_t(aError.RetryAfter().count());
+  return reply;
+}
+
+} // namespace
+
+entry_node::entry_node(entry_options aOptions,
+                       peer_network& aNetwork,
+                       table_store& aTable,
+                       caller_port& aCallers,
+                       event_sink& aEvents,
+                       random_source& aRandom,
+                       instant aNow,
+                       entry_safeguards aSafeguards)
+  : mOptions(std::move(aOptions))
+  , mNetwork(aNetwork)
+  , mTable(aTable)
+  , mCallers(aCallers)
+  , mEvents(aEvents)
+  , mRandom(aRandom)
+  , mSafeguards(aSafeguards)
+  , mConfig(mOptions.mConfig, aTable, aEvents, *this, aSafeguards.mConfig)
+  , mStarted(aNow)
+  , mNow(aNow)
+{
+  mOptions.mOwner.mDataCenter = mOptions.mDataCenter;
+}
+
+job_id
+entry_node::IdentityOf(const std::string& aTeam, const std::string& aKey) const
+{
+  return job_id::FromKey(aTeam, aKey, mOptions.mIdentitySeed);
+}
+
+void
+entry_node::OnPeerUp(peer_id aPeer,
+                     const peer_identity& aIdentity,
+                     instant aNow)
+{
+  mNow = aNow;
+  std::vector<peer_id> replaced;
+  for (const auto& [peer, row] : mPeers) {
+    if (row.mIdentity.mName == aIdentity.mName &&
+        row.mIdentity.mRole == aIdentity.mRole) {
+      replaced.push_back(peer);
+    }
+  }
+  for (peer_id old : replaced) {
+    OnPeerDown(old, aNow);
+    mNetwork.Close(old);
+  }
+  peer_row& row = mPeers[aPeer];
+  row.mIdentity = aIdentity;
+  row.mLastHeard = aNow;
+  mEvents.Emit(event_code::PeerUp, { { "peer", PeerName(aIdentity) } });
+  if (aIdentity.mRole == process_role::Entry) {
+    mEntryAddresses[aIdentity.mName] = aIdentity.mAddress;
+    mNextStatus = aNow; // tell it at once what is owned here
+    return;
+  }
+  NoteSeen(aIdentity, aNow);
+  wire::peer_status_msg status;
+  status.entries = EntryAddresses();
+  mNetwork.Send(aPeer, MakeMessage(std::move(status)));
+  shard_owner* owner = OwnerFor(aPeer);
+  if (owner != nullptr) {
+    owner->Attach(aPeer, aIdentity, aNow);
+    PushConfig(aPeer);
+  }
+}
+
+void
+entry_node::OnPeerDown(peer_id aPeer, instant aNow)
+{
+  mNow = aNow;
+  auto found = mPeers.find(aPeer);
+  if (found == mPeers.end()) {
+    return;
+  }
+  peer_row row = found->second;
+  mEvents.Emit(event_code::PeerDown, { { "peer", PeerName(row.mIdentity) } });
+  if (row.mIdentity.mRole == process_role::Guard) {
+    shard_owner* owner = OwnerFor(aPeer);
+    if (owner != nullptr) {
+      owner->Detach(aPeer, aNow);
+    }
+    NoteSeen(row.mIdentity, aNow);
+    if (row.mWorkerKnown && row.mWorker.draining) {
+      // It handed its records over before it left; they are not missing.
+      std::vector<known_worker>& seen = Shard(row.mIdentity.mShard).mSeen;
+      const peer_identity& left = row.mIdentity;
+      seen.erase(std::remove_if(seen.begin(),
+                                seen.end(),
+                                [&left](const known_worker& aWorker) {
+                                  return aWorker.mName == left.mName &&
+                                         aWorker.mIncarnation ==
+                                           left.mIncarnation;
+                                }),
+                 seen.end());
+    }
+  }
+  mPeers.erase(aPeer);
+  ForgetOwner(aPeer, aNow);
+}
+
+// Requests with an entry that went away go to the shard's next owner. The
+// first one may have started their tasks; the next one learns of those from
+// the guards' records before it accepts them.
+void
+entry_node::ForgetOwner(peer_id aPeer, instant aNow)
+{
+  for (auto& [token, row] : mRequests) {
+    if (row.mState == request_state::Forwarded && row.mOwner == aPeer) {
+      row.mState = request_state::Pending;
+      row.mPendingSince = aNow;
+      row.mOwner = 0;
+    }
+  }
+  for (auto served = mServed.begin(); served != mServed.end();) {
+    served =
+      served->second.mPeer == aPeer ? mServed.erase(served) : std::next(served);
+  }
+}
+
+entry_node::shard_row&
+entry_node::Shard(uint32_t aShard)
+{
+  return mShards[aShard];
+}
+
+shard_owner*
+entry_node::OwnerFor(peer_id aPeer)
+{
+  auto found = mPeers.find(aPeer);
+  if (found == mPeers.end()) {
+    return nullptr;
+  }
+  auto shard = mShards.find(found->second.mIdentity.mShard);
+  return shard == mShards.end() ? nullptr : shard->second.mOwner.get();
+}
+
+void
+entry_node::OnMessage(peer_id aPeer, const message& aMessage, instant aNow)
+{
+  mNow = aNow;
+  auto found = mPeers.find(aPeer);
+  if (found == mPeers.end()) {
+    return;
+  }
+  found->second.mLastHeard = aNow;
+  shard_owner* owner = OwnerFor(aPeer);
+  bool fromGuard = found->second.mIdentity.mRole == process_role::Guard;
+  if (fromGuard) {
+    switch (aMessage.type) {
+      case message_kind::worker_state:
+        OnWorkerState(aPeer, *aMessage.Asworker_state(), aNow);
+        break;
+      case message_kind::lease_reply:
+        Shard(found->second.mIdentity.mShard).mEpochSeen =
+          std::max(Shard(found->second.mIdentity.mShard).mEpochSeen,
+                   aMessage.Aslease_reply()->epoch);
+        if (owner != nullptr) {
+          owner->OnLeaseReply(aPeer, *aMessage.Aslease_reply(), aNow);
+        }
+        break;
+      case message_kind::records:
+        if (owner != nullptr) {
+          owner->OnRecords(aPeer, *aMessage.Asrecords(), aNow);
+        }
+        break;
+      case message_kind::results:
+        if (owner != nullptr) {
+          owner->OnResults(aPeer, *aMessage.Asresults(), aNow);
+        }
+        break;
+      case message_kind::settle_reply:
+        if (owner != nullptr) {
+          owner->OnSettleReply(aPeer, *aMessage.Assettle_reply(), aNow);
+        }
+        break;
+      default:
+        break;
+    }
+    return;
+  }
+  switch (aMessage.type) {
+    case message_kind::peer_status:
+      OnPeerStatus(aPeer, *aMessage.Aspeer_status(), aNow);
+      break;
+    case message_kind::config_push:
+      mConfig.OnPushed(aMessage.Asconfig_push()->version,
+                       aMessage.Asconfig_push()->document);
+      break;
+    case message_kind::job_request:
+      OnJobRequest(aPeer, *aMessage.Asjob_request(), aNow);
+      break;
+    case message_kind::job_reply:
+      OnJobReply(*aMessage.Asjob_reply(), aNow);
+      break;
+    case message_kind::handover:
+      OnHandover(aPeer, *aMessage.Ashandover(), aNow);
+      break;
+    default:
+      break;
+  }
+}
+
+void
+entry_node::Submit(caller_id aCaller,
+                   submission aSubmission,
+                   duration aWait,
+                   instant aNow)
+{
+  request_row row;
+  row.mCaller = aCaller;
+  row.mKind = request_kind::Submit;
+  row.mTeam = aSubmission.mTeam;
+  row.mId = aSubmission.mId;
+  for (const std::string& payload : aSubmission.mPayloads) {
+    row.mBytes += payload.size() + sizeof payload;
+  }
+  row.mSubmission = std::move(aSubmission);
+  row.mUntil = aNow + aWait;
+  AddRequest(std::move(row), aNow);
+}
+
+void
+entry_node::Watch(caller_id aCaller,
+                  const std::string& aTeam,
+                  const job_id& aId,
+                  duration aWait,
+                  instant aNow)
+{
+  request_row row;
+  row.mCaller = aCaller;
+  row.mKind = request_kind::Watch;
+  row.mTeam = aTeam;
+  row.mId = aId;
+  row.mUntil = aNow + aWait;
+  AddRequest(std::move(row), aNow);
+}
+
+void
+entry_node::Cancel(caller_id aCaller,
+                   const std::string& aTeam,
+                   const job_id& aId,
+                   duration aWait,
+                   instant aNow)
+{
+  request_row row;
+  row.mCaller = aCaller;
+  row.mKind = request_kind::Cancel;
+  row.mTeam = aTeam;
+  row.mId = aId;
+  row.mUntil = aNow + aWait;
+  AddRequest(std::move(row), aNow);
+}
+
+void
+entry_node::AddRequest(request_row aRow, instant aNow)
+{
+  mNow = aNow;
+  auto refuse = [&](error_code aCode, const std::string& aText) {
+    failure error(aCode,
+                  "accept",
+                  mOptions.mName,
+                  aText,
+                  run_state::NotRun,
+                  milliseconds(500));
+    mCallers.Reply(aRow.mCaller, ErrorReply(error));
+  };
+  if (mDraining) {
+    refuse(error_code::Draining, "this entry is stopping; ask another one");
+    return;
+  }
+  if (mRequests.size() >= mOptions.mMaxRequests ||
+      mRequestBytes + aRow.mBytes > mOptions.mMaxRequestBytes) {
+    mEvents.Emit(event_code::BudgetSpent, { { "budget", "requests" } });
+    refuse(error_code::Overloaded, "too many open requests at this entry");
+    return;
+  }
+  if (!mConfig.Loaded()) {
+    refuse(error_code::Unavailable, "no configuration is known yet");
+    return;
+  }
+  uint64_t token = mNextToken++;
+  aRow.mCreated = aNow;
+  aRow.mPendingSince = aNow;
+  mRequestBytes += aRow.mBytes;
+  mTokenByCaller[aRow.mCaller] = token;
+  mRequests.emplace(token, std::move(aRow));
+  Route(token, aNow);
+}
+
+void
+entry_node::CallerGone(caller_id aCaller)
+{
+  auto found = mTokenByCaller.find(aCaller);
+  if (found == mTokenByCaller.end()) {
+    return;
+  }
+  auto request = mRequests.find(found->second);
+  mTokenByCaller.erase(found);
+  if (request != mRequests.end()) {
+    request->second.mCaller = 0;
+  }
+}
+
+void
+entry_node::Route(uint64_t aToken, instant aNow)
+{
+  auto found = mRequests.find(aToken);
+  if (found == mRequests.end()) {
+    return;
+  }
+  request_row& row = found->second;
+  uint32_t shard = ShardOf(row.mId, ShardCount());
+  if (Shard(shard).mOwner != nullptr) {
+    RouteLocally(aToken, row, aNow);
+    return;
+  }
+  peer_id owner = OwnerPeer(shard, aNow);
+  if (owner != 0) {
+    Forward(aToken, row, owner, aNow);
+  }
+}
+
+void
+entry_node::RouteLocally(uint64_t aToken, request_row& aRow, instant aNow)
+{
+  aRow.mState = request_state::Local;
+  aRow.mEverSent = true;
+  shard_owner& owner = *Shard(ShardOf(aRow.mId, ShardCount())).mOwner;
+  waiter waiting{ aToken, aRow.mUntil };
+  switch (aRow.mKind) {
+    case request_kind::Submit:
+      // The owner holds the payloads from here on; StepDown gives them back.
+      owner.Submit(std::move(aRow.mSubmission), waiting, aNow);
+      break;
+    case request_kind::Watch: {
+      std::string teamName = aRow.mTeam;
+      job_id id = aRow.mId;
+      owner.Watch(teamName, id, waiting, aNow);
+      break;
+    }
+    case request_kind::Cancel: {
+      std::string teamName = aRow.mTeam;
+      job_id id = aRow.mId;
+      owner.Cancel(teamName, id, waiting, aNow);
+      break;
+    }
+    case request_kind::Count:
+      break;
+  }
+}
+
+void
+entry_node::Forward(uint64_t aToken,
+                    request_row& aRow,
+                    peer_id aOwner,
+                    instant aNow)
+{
+  aRow.mState = request_state::Forwarded;
+  aRow.mOwner = aOwner;
+  aRow.mEverSent = true;
+  mForwarded++;
+  wire::job_request_msg request;
+  request.request_id = aToken;
+  request.kind = uint8_t(aRow.mKind);
+  request.team = aRow.mTeam;
+  request.job_hi = aRow.mId.mHi;
+  request.job_lo = aRow.mId.mLo;
+  request.shard = ShardOf(aRow.mId, ShardCount());
+  duration left = std::max(duration(0), aRow.mUntil - aNow);
+  request.wait_ms =
+    uint32_t(std::chrono::duration_cast<milliseconds>(left).count());
+  if (aRow.mKind == request_kind::Submit) {
+    request.key = aRow.mSubmission.mKey;
+    request.profile = aRow.mSubmission.mProfile;
+    request.deadline_ms = uint32_t(
+      std::chrono::duration_cast<milliseconds>(aRow.mSubmission.mDeadline)
+        .count());
+    request.payloads = aRow.mSubmission.mPayloads;
+  }
+  mNetwork.Send(aOwner, MakeMessage(std::move(request)));
+}
+
+void
+entry_node::OnJobRequest(peer_id aPeer,
+                         const wire::job_request_msg& aRequest,
+                         instant aNow)
+{
+  auto shard = mShards.find(aRequest.shard);
+  if (shard == mShards.end() || shard->second.mOwner == nullptr) {
+    wire::job_reply_msg reply = RouteReply();
+    reply.request_id = aRequest.request_id;
+    mNetwork.Send(aPeer, MakeMessage(std::move(reply)));
+    return;
+  }
+  shard_owner& owner = *shard->second.mOwner;
+  uint64_t token = mNextToken++;
+  mServed[token] = { aPeer, aRequest.request_id };
+  waiter waiting{ token, aNow + milliseconds(aRequest.wait_ms) };
+  job_id id{ aRequest.job_hi, aRequest.job_lo };
+  if (aRequest.kind == uint8_t(request_kind::Watch)) {
+    owner.Watch(aRequest.team, id, waiting, aNow);
+    return;
+  }
+  if (aRequest.kind == uint8_t(request_kind::Cancel)) {
+    owner.Cancel(aRequest.team, id, waiting, aNow);
+    return;
+  }
+  submission passed;
+  passed.mId = id;
+  passed.mTeam = aRequest.team;
+  passed.mKey = aRequest.key;
+  passed.mProfile = aRequest.profile;
+  passed.mDeadline = milliseconds(aRequest.deadline_ms);
+  passed.mPayloads = aRequest.payloads;
+  owner.Submit(std::move(passed), waiting, aNow);
+}
+
+void
+entry_node::OnJobReply(const wire::job_reply_msg& aReply, instant aNow)
+{
+  auto found = mRequests.find(aReply.request_id);
+  if (found == mRequests.end() ||
+      found->second.mState != request_state::Forwarded) {
+    return; // answered already, through another owner
+  }
+  if (IsRouteReply(aReply)) {
+    found->second.mState = request_state::Pending;
+    found->second.mPendingSince = aNow;
+    found->second.mOwner = 0;
+    return;
+  }
+  FinishRequest(aReply.request_id, aReply);
+}
+
+void
+entry_node::Answer(uint64_t aToken, wire::job_reply_msg aReply)
+{
+  auto served = mServed.find(aToken);
+  if (served != mServed.end()) {
+    aReply.request_id = served->second.mRequest;
+    peer_id peer = served->second.mPeer;
+    mServed.erase(served);
+    mNetwork.Send(peer, MakeMessage(std::move(aReply)));
+    return;
+  }
+  auto found = mRequests.find(aToken);
+  if (found == mRequests.end()) {
+    return;
+  }
+  if (IsRouteReply(aReply)) {
+    found->second.mState = request_state::Pending;
+    found->second.mPendingSince = mNow;
+    return;
+  }
+  FinishRequest(aToken, aReply);
+}
+
+void
+entry_node::FinishRequest(uint64_t aToken, const wire::job_reply_msg& aReply)
+{
+  auto found = mRequests.find(aToken);
+  caller_id caller = found->second.mCaller;
+  mRequestBytes -= found->second.mBytes;
+  mRequests.erase(found);
+  if (caller != 0) {
+    mTokenByCaller.erase(caller);
+    mCallers.Reply(caller, aReply);
+  }
+}
+
+void
+entry_node::FailRequest(uint64_t aToken, const std::string& aText)
+{
+  const request_row& row = mRequests.at(aToken);
+  run_state run = row.mEverSent ? run_state::Unknown : run_state::NotRun;
+  failure error(error_code::Unavailable,
+                "route",
+                "shard " + std::to_string(ShardOf(row.mId, ShardCount())),
+                aText,
+                run,
+                std::chrono::seconds(1));
+  FinishRequest(aToken, ErrorReply(error));
+}
+
+void
+entry_node::RoutePending(instant aNow)
+{
+  std::vector<uint64_t> pending;
+  std::vector<uint64_t> overdue;
+  for (const auto& [token, row] : mRequests) {
+    if (row.mState == request_state::Pending) {
+      bool late = aNow - row.mPendingSince >= mOptions.mRouteTimeout;
+      (late ? overdue : pending).push_back(token);
+    } else if (row.mState == request_state::Forwarded &&
+               aNow >= row.mUntil + kForwardGrace) {
+      overdue.push_back(token);
+    }
+  }
+  for (uint64_t token : overdue) {
+    FailRequest(token, "no entry owns the job's shard at present");
+  }
+  // Submissions first: a watch of the same job must find it.
+  std::sort(pending.begin(), pending.end());
+  for (uint64_t token : pending) {
+    Route(token, aNow);
+  }
+}
+
+void
+entry_node::Change(const config_change& aChange, instant aNow)
+{
+  mNow = aNow;
+  mConfig.Change(aChange, aNow);
+}
+
+void
+entry_node::OnChangeDone(const change_outcome& aOutcome)
+{
+  mCallers.ChangeDone(aOutcome);
+}
+
+void
+entry_node::OnConfigInForce(const deployment_config& aConfig)
+{
+  for (auto& [number, shard] : mShards) {
+    if (shard.mOwner != nullptr) {
+      shard.mOwner->SetConfig(aConfig);
+    }
+  }
+  for (const auto& [peer, row] : mPeers) {
+    bool entry = row.mIdentity.mRole == process_role::Entry;
+    if (entry || OwnerFor(peer) != nullptr) {
+      PushConfig(peer);
+    }
+  }
+}
+
+void
+entry_node::PushConfig(peer_id aPeer)
+{
+  auto found = mPeers.find(aPeer);
+  uint64_t version = mConfig.InForce().mVersion;
+  if (found == mPeers.end() || version == 0) {
+    return;
+  }
+  peer_row& row = found->second;
+  uint64_t has = row.mIdentity.mRole == process_role::Entry
+                   ? row.mStatus.config_version
+                   : row.mWorker.config_version;
+  if (has >= version || row.mPushedVersion >= version) {
+    return;
+  }
+  row.mPushedVersion = version;
+  wire::config_push_msg push;
+  push.version = version;
+  push.document = mConfig.Document();
+  mNetwork.Send(aPeer, MakeMessage(std::move(push)));
+}
+
+void
+entry_node::OnWorkerState(peer_id aPeer,
+                          const wire::worker_state_msg& aState,
+                          instant aNow)
+{
+  peer_row& row = mPeers[aPeer];
+  row.mWorker = aState;
+  row.mWorkerKnown = true;
+  NoteSeen(row.mIdentity, aNow);
+  shard_owner* owner = OwnerFor(aPeer);
+  if (owner != nullptr) {
+    owner->OnWorkerState(aPeer, aState);
+    PushConfig(aPeer);
+  }
+}
+
+void
+entry_node::Tick(instant aNow, int64_t aWallSeconds)
+{
+  mNow = aNow;
+  mWallSeconds = aWallSeconds;
+  mConfig.Tick(aNow, aWallSeconds);
+  KeepRow(aNow);
+  KeepEntries(aNow);
+  if (aNow >= mNextElection) {
+    mNextElection = aNow + milliseconds(100);
+    RunElections(aNow);
+    StoreRosters(aNow);
+  }
+  if (aNow >= mNextRoute) {
+    mNextRoute = aNow + kRouteInterval;
+    RoutePending(aNow);
+  }
+  for (auto& [number, shard] : mShards) {
+    if (shard.mOwner != nullptr) {
+      shard.mOwner->Tick(aNow);
+    }
+  }
+  if (aNow >= mNextStatus) {
+    mNextStatus = aNow + mOptions.mStatusInterval;
+    SendStatus(aNow);
+  }
+}
+
+void
+entry_node::BeginDrain(instant aNow)
+{
+  if (mDraining) {
+    return;
+  }
+  mNow = aNow;
+  mDraining = true;
+  mEvents.Emit(event_code::ProcessDraining,
+               { { "requests", std::to_string(mRequests.size()) } });
+  SendStatus(aNow);
+  for (auto& [number, shard] : mShards) {
+    if (shard.mOwner == nullptr) {
+      continue;
+    }
+    peer_id successor = Successor(number, aNow);
+    if (successor != 0) {
+      StepDown(number, successor, aNow);
+    }
+  }
+}
+
+bool
+entry_node::Drained() const
+{
+  if (!mDraining || !mRequests.empty()) {
+    return false;
+  }
+  for (const auto& [number, shard] : mShards) {
+    if (shard.mOwner != nullptr && shard.mOwner->Jobs().Undecided() > 0) {
+      return false; // the last entry: it finishes what it holds
+    }
+  }
+  return true;
+}
+
+void
+entry_node::AbortDrain(instant aNow)
+{
+  mNow = aNow;
+  mEvents.Emit(event_code::DrainDeadline,
+               { { "requests", std::to_string(mRequests.size()) } });
+  for (auto& [number, shard] : mShards) {
+    if (shard.mOwner != nullptr) {
+      shard.mOwner->FailAll(aNow);
+    }
+  }
+  std::vector<uint64_t> left;
+  for (const auto& [token, row] : mRequests) {
+    left.push_back(token);
+  }
+  for (uint64_t token : left) {
+    FailRequest(token, "this entry stopped before the answer was known");
+  }
+}
+
+} // namespace cactusmast
--- /dev/null
+++ b/cactusmast/events.h
@@ -0,0 +1,98 @@
+// Numbered log events. Every line that a daemon logs is one of these; the
+// catalogue for operators is docs/EVENTS.md, which a test holds equal to the
+// table here.
+
+#ifndef CACTUSMAST_EVENTS_H_
+#define CACTUSMAST_EVENTS_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cactusmast {
+
+enum class severity : uint8_t
+{
+  Info,
+  Warning,
+  Error,
+  Count
+};
+
+enum class event_code : uint16_t
+{
+  ProcessStarted = 100,
+  ProcessDraining = 101,
+  ProcessStopped = 102,
+  SettingsInvalid = 103,
+  DrainDeadline = 104,
+  PeerUp = 200,
+  PeerDown = 201,
+  PeerRefused = 202,
+  PeerSilent = 203,
+  PeerProtocolError = 204,
+  ShardClaimed = 300,
+  ShardComplete = 301,
+  ShardReleased = 302,
+  ShardInDoubt = 303,
+  WorkerAttached = 310,
+  WorkerLost = 311,
+  WorkerLeft = 312,
+  WorkerSetAside = 313,
+  LeaseGranted = 320,
+  LeaseExpired = 321,
+  LeaseRefused = 322,
+  DispatchRefused = 323,
+  BackendAnnounced = 330,
+  BackendWithdrawn = 331,
+  BackendExpired = 332,
+  JobAccepted = 400,
+  JobRefused = 401,
+  JobDecided = 402,
+  JobCancelled = 403,
+  BudgetSpent = 410,
+  ConfigAccepted = 500,
+  ConfigRefused = 501,
+  ConfigInForce = 502,
+  ConfigStale = 503,
+  ConfigFresh = 504,
+  ConfigUnreadable = 505,
+  TableUnavailable = 510,
+  TableAvailable = 511,
+};
+
+struct event_row
+{
+  event_code mCode;
+  severity mSeverity;
+  std::string_view mName;
+  std::string_view mMeaning;
+};
+
+// All events in ascending order of their numbers.
+const std::vector<event_row>&
+EventTable();
+
+const event_row&
+EventOf(event_code aCode);
+
+std::string_view
+Name(severity aSeverity);
+
+struct event_field
+{
+  std::string_view mName;
+  std::string mValue;
+};
+
+class event_sink
+{
+public:
+  virtual ~event_sink() = default;
+  virtual void Emit(event_code aCode, std::vector<event_field> aFields) = 0;
+};
+
+} // namespace cactusmast
+
+#endif // CACTUSMAST_EVENTS_H_
--- /dev/null
+++ b/cactusmast/ids.h
@@ -0,0 +1,102 @@
+// Identities and time as the decision core uses them.
+
+#ifndef CACTUSMAST_IDS_H_
+#define CACTUSMAST_IDS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "cactusmast/wire_generated.h"
+
+namespace cactusmast {
+
+using task_ref = wire::task_ref;
+
+// Microseconds; instants count from an arbitrary origin of the process's own
+// monotonic clock and never travel between processes.
+using duration = std::chrono::microseconds;
+using instant = std::chrono::microseconds;
+
+// A connection to another process of the system, numbered by the transport
+// and never reused within a process.
+using peer_id = uint32_t;
+
+// A caller's open request, numbered by the API layer.
+using caller_id = uint64_t;
+
+// Identifies a job for as long as it is retained: a seeded 128-bit hash of
+// the team and the caller's idempotency key, so that every entry derives the
+// same identity from a resubmission without asking anybody.
+struct job_id
+{
+  uint64_t mHi = 0;
+  uint64_t mLo = 0;
+
+  bool operator==(const job_id& aOther) const
+  {
+    return mHi == aOther.mHi && mLo == aOther.mLo;
+  }
+
+  static job_id FromKey(std::string_view aTeam,
+                        std::string_view aKey,
+                        uint64_t aSeed);
+  // The 32 hexadecimal digits of Text(); false when aText is no identity.
+  static bool Parse(std::string_view aText, job_id* aOut);
+  std::string Text() const;
+};
+
+inline job_id
+JobOf(const task_ref& aRef)
+{
+  return { aRef.job_hi(), aRef.job_lo() };
+}
+
+inline task_ref
+RefOf(const job_id& aJob, uint32_t aIndex)
+{
+  return task_ref(aJob.mHi, aJob.mLo, aIndex);
+}
+
+struct job_id_hash
+{
+  size_t operator()(const job_id& aId) const
+  {
+    return size_t(aId.mLo ^ (aId.mHi * 0x9e3779b97f4a7c15u));
+  }
+};
+
+struct task_ref_hash
+{
+  size_t operator()(const task_ref& aRef) const
+  {
+    return job_id_hash()(JobOf(aRef)) * 31 + aRef.index();
+  }
+};
+
+struct task_ref_equal
+{
+  bool operator()(const task_ref& aLeft, const task_ref& aRight) const
+  {
+    return JobOf(aLeft) == JobOf(aRight) && aLeft.index() == aRight.index();
+  }
+};
+
+// A 64-bit hash that all processes of one build agree on.
+uint64_t
+Hash64(std::string_view aText, uint64_t aSeed = 0);
+
+// The shard that owns aId, out of aShardCount.
+uint32_t
+ShardOf(const job_id& aId, uint32_t aShardCount);
+
+// Rendezvous weight of aName for aShard: the live entry with the greatest
+// weight takes the shard, so that losing one entry moves only its shards.
+uint64_t
+RendezvousWeight(uint32_t aShard, std::string_view aName);
+
+} // namespace cactusmast
+
+#endif // CACTUSMAST_IDS_H_
--- /dev/null
+++ b/cactusmast/shard_owner.cc
@@ -0,0 +1,733 @@
+#include "cactusmast/shard_owner.h"
+
+#include <algorithm>
+
+// Workers, leases and the recovery of records. The jobs' side is in
+// shard_owner_jobs.cc.
+
+namespace cactusmast {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kKeepInterval{ 100 };
+constexpr milliseconds kClaimRetry{ 200 };
+constexpr uint32_t kExpirePerTick = 2000;
+constexpr size_t kHandoverTasks = 5000;
+
+} // namespace
+
+void
+AddCounters(const owner_counters& aFrom, owner_counters* aInto)
+{
+  using member = uint64_t owner_counters::*;
+  static constexpr member kMembers[] = {
+    &owner_counters::mDispatchMessages, &owner_counters::mDispatchedTasks,
+    &owner_counters::mRepeatedTasks,    &owner_counters::mResultMessages,
+    &owner_counters::mResultTasks,      &owner_counters::mDuplicateResults,
+    &owner_counters::mRefusedTasks,     &owner_counters::mAckMessages,
+    &owner_counters::mSettleMessages,   &owner_counters::mCancelMessages,
+    &owner_counters::mFetchMessages,    &owner_counters::mLeaseMessages,
+    &owner_counters::mJobsAccepted,     &owner_counters::mJobsRefused,
+    &owner_counters::mJobsComplete,     &owner_counters::mJobsFailed,
+  };
+  for (member counter : kMembers) {
+    aInto->*counter += aFrom.*counter;
+  }
+}
+
+shard_owner::shard_owner(owner_options aOptions,
+                         uint64_t aEpoch,
+                         const std::vector<known_worker>& aKnown,
+                         const deployment_config& aConfig,
+                         peer_network& aNetwork,
+                         answer_sink& aAnswers,
+                         event_sink& aEvents,
+                         random_source& aRandom,
+                         instant aNow,
+                         owner_safeguards aSafeguards)
+  : mOptions(std::move(aOptions))
+  , mEpoch(aEpoch)
+  , mSafeguards(aSafeguards)
+  , mNetwork(aNetwork)
+  , mAnswers(aAnswers)
+  , mEvents(aEvents)
+  , mRandom(aRandom)
+  , mClaimedAt(aNow)
+  , mDispatcher(mOptions.mDispatcher)
+  , mJobs(mOptions.mJobs)
+  , mMissing(aKnown)
+{
+  if (!mSafeguards.mWaitForRecords) {
+    mMissing.clear();
+  }
+  SetConfig(aConfig);
+  mEvents.Emit(event_code::ShardClaimed,
+               { { "shard", std::to_string(mOptions.mShard) },
+                 { "epoch", std::to_string(mEpoch) },
+                 { "missing", std::to_string(mMissing.size()) } });
+}
+
+void
+shard_owner::SetConfig(const deployment_config& aConfig)
+{
+  mConfig = aConfig;
+  for (const auto& [name, entry] : mConfig.mProfiles) {
+    mDispatcher.SetLane(entry);
+  }
+  for (const auto& [name, entry] : mConfig.mTeams) {
+    mDispatcher.SetTeam(entry);
+  }
+}
+
+shard_owner::worker_row*
+shard_owner::FindByPeer(peer_id aPeer)
+{
+  auto found = mWorkerByPeer.find(aPeer);
+  return found == mWorkerByPeer.end() ? nullptr : &mWorkers[found->second];
+}
+
+void
+shard_owner::Attach(peer_id aPeer, const peer_identity& aIdentity, instant aNow)
+{
+  auto known = mWorkers.find(aIdentity.mName);
+  if (known != mWorkers.end() &&
+      known->second.mIdentity.mIncarnation != aIdentity.mIncarnation) {
+    // The guard restarted: what it knew of its tasks is gone.
+    LoseWorker(known->second, aNow);
+    RemoveWorker(aIdentity.mName);
+    known = mWorkers.end();
+  }
+  bool added = known == mWorkers.end();
+  worker_row& row = mWorkers[aIdentity.mName];
+  if (added) {
+    row.mHandle = mDispatcher.AddWorker(worker_traits());
+    mWorkerByHandle[row.mHandle] = aIdentity.mName;
+    row.mRosterVersion = ++mRosterVersion;
+  } else if (row.mPeer != 0 && row.mPeer != aPeer) {
+    // The guard replaced a link that it found dead before this side did.
+    mWorkerByPeer.erase(row.mPeer);
+    mNetwork.Close(row.mPeer);
+  }
+  row.mIdentity = aIdentity;
+  row.mPeer = aPeer;
+  row.mLeased = false;
+  row.mLastHeard = aNow;
+  row.mSent.clear();
+  row.mLeaseEnd = {};
+  mWorkerByPeer[aPeer] = aIdentity.mName;
+  RequestLease(row, aNow);
+}
+
+void
+shard_owner::Detach(peer_id aPeer, instant aNow)
+{
+  worker_row* row = FindByPeer(aPeer);
+  if (row == nullptr) {
+    return;
+  }
+  mWorkerByPeer.erase(aPeer);
+  row->mPeer = 0;
+  row->mLeased = false;
+  row->mLeaseEnd = {};
+  row->mLinkDownSince = aNow;
+  UpdateAccepting(*row, aNow);
+}
+
+void
+shard_owner::OnWorkerState(peer_id aPeer, const wire::worker_state_msg& aState)
+{
+  worker_row* row = FindByPeer(aPeer);
+  if (row == nullptr) {
+    return;
+  }
+  worker_traits traits;
+  traits.mServices = aState.services;
+  traits.mSlots = aState.slots;
+  traits.mCpus = aState.cpus;
+  traits.mMemoryMb = aState.memory_mb;
+  traits.mAccelerators = aState.accelerators;
+  if (row->mIdentity.mDataCenter != mOptions.mDataCenter) {
+    traits.mLatency = mOptions.mRemoteLatency;
+  }
+  row->mTraits = traits;
+  row->mStateKnown = true;
+  row->mDraining = aState.draining;
+  row->mBackOffUntil = {};
+  mDispatcher.UpdateWorker(row->mHandle, traits);
+  UpdateAccepting(*row, row->mLastHeard);
+}
+
+void
+shard_owner::NextSequence(worker_row& aRow, instant aNow)
+{
+  aRow.mSequence++;
+  aRow.mSent.push_back({ aRow.mSequence, aNow });
+  constexpr size_t kMaxOutstanding = 64;
+  if (aRow.mSent.size() > kMaxOutstanding) {
+    // Every other one: confirmations of the rest still count, from a time
+    // that is at most a little too early.
+    std::deque<sent_sequence> kept;
+    for (size_t i = 0; i < aRow.mSent.size(); i += 2) {
+      kept.push_back(aRow.mSent[i]);
+    }
+    aRow.mSent = std::move(kept);
+  }
+}
+
+void
+shard_owner::RequestLease(worker_row& aRow, instant aNow)
+{
+  if (aRow.mPeer == 0) {
+    return;
+  }
+  NextSequence(aRow, aNow);
+  aRow.mLastRequest = aNow;
+  wire::lease_request_msg request;
+  request.shard = mOptions.mShard;
+  request.epoch = mEpoch;
+  request.sequence = aRow.mSequence;
+  request.config_version = mConfig.mVersion;
+  mCounters.mLeaseMessages++;
+  mNetwork.Send(aRow.mPeer, MakeMessage(std::move(request)));
+}
+
+// The guard has acted on aSequence, so its lease runs at least from the time
+// that message was sent.
+void
+shard_owner::ConfirmLease(worker_row& aRow, uint64_t aSequence, instant aNow)
+{
+  instant sent{};
+  while (!aRow.mSent.empty() && aRow.mSent.front().mSequence <= aSequence) {
+    sent = aRow.mSent.front().mSent;
+    aRow.mSent.pop_front();
+  }
+  if (sent.count() == 0) {
+    return;
+  }
+  instant from = mSafeguards.mLeaseMargin ? sent : aNow;
+  duration margin =
+    mSafeguards.mLeaseMargin ? mOptions.mLeaseMargin : duration(0);
+  aRow.mLeaseEnd = std::max(aRow.mLeaseEnd, from + mOptions.mLease - margin);
+}
+
+void
+shard_owner::OnLeaseReply(peer_id aPeer,
+                          const wire::lease_reply_msg& aReply,
+                          instant aNow)
+{
+  worker_row* row = FindByPeer(aPeer);
+  if (row == nullptr) {
+    return;
+  }
+  row->mLastHeard = aNow;
+  if (!aReply.granted) {
+    row->mLeased = false;
+    row->mLeaseEnd = {};
+    // The guard has seen a later owner than this one knew of. A claim must
+    // come after it, and waits until the guard's present lease has ended.
+    mEpoch = std::max(mEpoch, aReply.epoch + 1);
+    UpdateAccepting(*row, aNow);
+    return;
+  }
+  if (aReply.epoch != mEpoch) {
+    RequestLease(*row, aNow);
+    return;
+  }
+  ConfirmLease(*row, aReply.sequence, aNow);
+  if (!row->mLeased) {
+    row->mLeased = true;
+    OnLeased(*row);
+  }
+  UpdateAccepting(*row, aNow);
+}
+
+void
+shard_owner::OnLeased(worker_row& aRow)
+{
+  mEvents.Emit(event_code::WorkerAttached,
+               { { "worker", aRow.mIdentity.mName },
+                 { "incarnation", std::to_string(aRow.mIdentity.mIncarnation) },
+                 { "epoch", std::to_string(mEpoch) } });
+  AskAboutFlights(aRow);
+}
+
+// After a broken link nobody knows which dispatches arrived. The guard tells,
+// and revokes what it has not seen, so that what is sent again cannot have
+// started and cannot start later from a late copy.
+void
+shard_owner::AskAboutFlights(worker_row& aRow)
+{
+  if (!aRow.mRestored.empty()) {
+    wire::fetch_msg fetch;
+    for (const auto& [ref, job] : aRow.mRestored) {
+      fetch.refs.push_back(ref);
+    }
+    mCounters.mFetchMessages++;
+    mNetwork.Send(aRow.mPeer, MakeMessage(std::move(fetch)));
+  }
+  if (aRow.mFlights.empty() || !mSafeguards.mSettleBeforeRetry) {
+    return;
+  }
+  wire::settle_msg ask;
+  ask.epoch = mEpoch;
+  for (const auto& [ref, flown] : aRow.mFlights) {
+    ask.refs.push_back(ref);
+  }
+  mCounters.mSettleMessages++;
+  mNetwork.Send(aRow.mPeer, MakeMessage(std::move(ask)));
+}
+
+void
+shard_owner::OnSettleReply(peer_id aPeer,
+                           const wire::settle_reply_msg& aReply,
+                           instant aNow)
+{
+  worker_row* row = FindByPeer(aPeer);
+  if (row == nullptr) {
+    return;
+  }
+  row->mLastHeard = aNow;
+  for (const task_ref& ref : aReply.not_started) {
+    auto found = row->mFlights.find(ref);
+    if (found == row->mFlights.end()) {
+      continue;
+    }
+    flight back = found->second;
+    row->mFlights.erase(found);
+    mDispatcher.NotStarted(
+      row->mHandle, back.mLane, back.mTeam, back.mExpected);
+    Requeue(back, ref.index(), false, aNow);
+  }
+}
+
+void
+shard_owner::OnRecords(peer_id aPeer,
+                       const wire::records_msg& aRecords,
+                       instant aNow)
+{
+  worker_row* row = FindByPeer(aPeer);
+  if (row == nullptr || aRecords.epoch != mEpoch) {
+    return;
+  }
+  row->mLastHeard = aNow;
+  if (aRecords.clean_stop) {
+    PassRecordsOn(*row, aRecords);
+    if (aRecords.last) {
+      OnCleanStop(*row, aNow);
+    }
+    return;
+  }
+  for (const wire::record_summary& item : aRecords.items) {
+    auto state = record_state(item.state());
+    if (state == record_state::Tombstone ||
+        row->mFlights.count(item.ref()) > 0) {
+      continue;
+    }
+    if (mSafeguards.mUseRecords) {
+      mRecovered[JobOf(item.ref())].push_back(
+        { item.ref().index(), state, item.has_result(), row->mIdentity.mName });
+    }
+    if (state == record_state::Running && !row->mRecordsIn) {
+      row->mAdopted[item.ref()] = true;
+      mDispatcher.AdoptRunning(row->mHandle);
+    }
+  }
+  if (!aRecords.last) {
+    return;
+  }
+  row->mRecordsIn = true;
+  auto same = [row](const known_worker& aKnown) {
+    return aKnown.mName == row->mIdentity.mName &&
+           aKnown.mIncarnation == row->mIdentity.mIncarnation;
+  };
+  mMissing.erase(std::remove_if(mMissing.begin(), mMissing.end(), same),
+                 mMissing.end());
+  UpdateAccepting(*row, aNow);
+  CheckComplete(aNow);
+}
+
+// A guard that stops as planned has no running tasks, and its results are
+// here. Its start records must outlive it, though: if this process fails
+// before their retention ends, the next owner would find no trace of those
+// starts. So other guards keep them from now on, and report them with their
+// own.
+void
+shard_owner::PassRecordsOn(const worker_row& aFrom,
+                           const wire::records_msg& aRecords)
+{
+  constexpr uint32_t kCopies = 2;
+  uint32_t sent = 0;
+  for (const auto& [name, row] : mWorkers) {
+    if (&row == &aFrom || row.mPeer == 0 || !row.mLeased || row.mDraining) {
+      continue;
+    }
+    mNetwork.Send(row.mPeer, MakeMessage(wire::records_msg(aRecords)));
+    if (++sent == kCopies) {
+      return;
+    }
+  }
+}
+
+void
+shard_owner::ForgetRecordsAt(const std::string& aWorker)
+{
+  for (auto& [id, tasks] : mRecovered) {
+    for (recovered_task& task : tasks) {
+      if (task.mWorker == aWorker) {
+        task.mWorker.clear();
+      }
+    }
+  }
+}
+
+void
+shard_owner::OnCleanStop(worker_row& aRow, instant aNow)
+{
+  wire::lease_release_msg release;
+  release.shard = mOptions.mShard;
+  release.epoch = mEpoch;
+  mNetwork.Send(aRow.mPeer, MakeMessage(std::move(release)));
+  ForgetRecordsAt(aRow.mIdentity.mName);
+  mEvents.Emit(event_code::WorkerLeft, { { "worker", aRow.mIdentity.mName } });
+  mAbsent[aRow.mIdentity.mName] = { aRow.mTraits, aNow };
+  RemoveWorker(std::string(aRow.mIdentity.mName));
+}
+
+void
+shard_owner::LoseWorker(worker_row& aRow, instant aNow)
+{
+  mEvents.Emit(event_code::WorkerLost,
+               { { "worker", aRow.mIdentity.mName },
+                 { "incarnation", std::to_string(aRow.mIdentity.mIncarnation) },
+                 { "tasks", std::to_string(aRow.mFlights.size()) } });
+  auto flights = std::move(aRow.mFlights);
+  aRow.mFlights.clear();
+  for (const auto& [ref, lost] : flights) {
+    SettleTask(lost.mJob,
+               ref.index(),
+               run_state::Unknown,
+               task_reason::WorkerLost,
+               aNow);
+  }
+  auto restored = std::move(aRow.mRestored);
+  aRow.mRestored.clear();
+  for (const auto& [ref, job] : restored) {
+    SettleTask(
+      job, ref.index(), run_state::Unknown, task_reason::WorkerLost, aNow);
+  }
+  ForgetRecordsAt(aRow.mIdentity.mName);
+  mRosterGone.push_back(
+    { aRow.mIdentity.mName, aRow.mIdentity.mIncarnation, aNow });
+  mAbsent[aRow.mIdentity.mName] = { aRow.mTraits, aNow };
+}
+
+void
+shard_owner::RemoveWorker(const std::string& aName)
+{
+  auto found = mWorkers.find(aName);
+  worker_row& row = found->second;
+  mDispatcher.RemoveWorker(row.mHandle);
+  mWorkerByHandle.erase(row.mHandle);
+  mWorkerByPeer.erase(row.mPeer);
+  mWorkers.erase(found);
+  mRosterVersion++;
+}
+
+void
+shard_owner::UpdateAccepting(worker_row& aRow, instant aNow)
+{
+  bool listed = mStoredRoster >= aRow.mRosterVersion;
+  bool accepting = aRow.mPeer != 0 && aRow.mLeased && aRow.mStateKnown &&
+                   aRow.mRecordsIn && listed && !aRow.mDraining &&
+                   aRow.mTraits.mSlots > 0 && aNow < aRow.mLeaseEnd &&
+                   aNow >= aRow.mBackOffUntil;
+  mDispatcher.SetAccepting(aRow.mHandle, accepting);
+}
+
+void
+shard_owner::KeepWorkers(instant aNow)
+{
+  std::vector<std::string> lost;
+  std::vector<peer_id> silent;
+  for (auto& [name, row] : mWorkers) {
+    if (row.mPeer == 0) {
+      if (aNow - row.mLinkDownSince >= mOptions.mGiveUp) {
+        lost.push_back(name);
+      }
+      continue;
+    }
+    if (aNow - row.mLastHeard >= mOptions.mLease) {
+      silent.push_back(row.mPeer);
+      continue;
+    }
+    // Traffic renews the lease; only idle links need a request of their own.
+    bool aging =
+      row.mLeaseEnd - aNow < mOptions.mLease - mOptions.mRenewInterval;
+    duration pause =
+      row.mLeased ? mOptions.mRenewInterval / 2 : duration(kClaimRetry);
+    bool asked = aNow - row.mLastRequest < pause;
+    if (aging && !asked) {
+      RequestLease(row, aNow);
+    }
+    UpdateAccepting(row, aNow);
+  }
+  for (peer_id peer : silent) {
+    mEvents.Emit(
+      event_code::PeerSilent,
+      { { "peer", mWorkerByPeer[peer] }, { "step", "renew lease" } });
+    Detach(peer, aNow);
+    mNetwork.Close(peer);
+  }
+  for (const std::string& name : lost) {
+    LoseWorker(mWorkers[name], aNow);
+    RemoveWorker(name);
+  }
+}
+
+void
+shard_owner::CheckComplete(instant aNow)
+{
+  auto expired = [&](const known_worker& aKnown) {
+    return aKnown.mLastAlive + mOptions.mJobs.mRetention <= aNow;
+  };
+  bool before = mMissing.empty();
+  mMissing.erase(std::remove_if(mMissing.begin(), mMissing.end(), expired),
+                 mMissing.end());
+  mRosterGone.erase(
+    std::remove_if(mRosterGone.begin(), mRosterGone.end(), expired),
+    mRosterGone.end());
+  if (!before && mMissing.empty()) {
+    mEvents.Emit(event_code::ShardComplete,
+                 { { "shard", std::to_string(mOptions.mShard) } });
+  }
+  if (!mMissing.empty() && !mDoubtReported &&
+      aNow - mClaimedAt >= mOptions.mHold) {
+    mDoubtReported = true;
+    mEvents.Emit(event_code::ShardInDoubt,
+                 { { "shard", std::to_string(mOptions.mShard) },
+                   { "worker", mMissing.front().mName } });
+  }
+}
+
+uint32_t
+shard_owner::LeasedWorkers(instant aNow) const
+{
+  uint32_t count = 0;
+  for (const auto& [name, row] : mWorkers) {
+    count += row.mLeased && aNow < row.mLeaseEnd ? 1 : 0;
+  }
+  return count;
+}
+
+std::vector<known_worker>
+shard_owner::Roster() const
+{
+  std::vector<known_worker> roster = mRosterGone;
+  roster.insert(roster.end(), mMissing.begin(), mMissing.end());
+  for (const auto& [name, row] : mWorkers) {
+    roster.push_back({ name, row.mIdentity.mIncarnation, row.mLastHeard });
+  }
+  return roster;
+}
+
+void
+shard_owner::OnRosterStored(uint64_t aVersion)
+{
+  mStoredRoster = std::max(mStoredRoster, aVersion);
+}
+
+std::vector<shard_owner::worker_status>
+shard_owner::Workers(instant aNow) const
+{
+  std::vector<worker_status> made;
+  for (const auto& [name, row] : mWorkers) {
+    worker_status status;
+    status.mName = name;
+    status.mIncarnation = row.mIdentity.mIncarnation;
+    status.mConnected = row.mPeer != 0;
+    status.mLeased = row.mLeased && aNow < row.mLeaseEnd;
+    status.mSetAside = mDispatcher.SetAside(row.mHandle, aNow);
+    status.mSlots = row.mTraits.mSlots;
+    status.mRunning = mDispatcher.Running(row.mHandle);
+    status.mSlowness = mDispatcher.Estimator().Slowness(0, row.mHandle);
+    made.push_back(std::move(status));
+  }
+  return made;
+}
+
+void
+shard_owner::Tick(instant aNow)
+{
+  if (aNow >= mNextKeep) {
+    mNextKeep = aNow + kKeepInterval;
+    KeepWorkers(aNow);
+    CheckComplete(aNow);
+    ExpireWaiters(aNow);
+    FailUnsatisfiable(aNow);
+    mJobs.Expire(aNow, kExpirePerTick);
+    if (aNow - mClaimedAt > mOptions.mJobs.mRetention) {
+      mRecovered.clear();
+      mInherited.clear();
+    }
+  }
+  ReleaseHeld(aNow);
+  ExpireDeadlines(aNow);
+  Schedule(aNow);
+  for (auto& [name, row] : mWorkers) {
+    Flush(row, aNow);
+  }
+}
+
+void
+shard_owner::OnHandover(const wire::handover_msg& aPart, instant aNow)
+{
+  for (const wire::decided_job_msg& job : aPart.answers) {
+    job_id id{ job.job_hi, job.job_lo };
+    job_handle present = 0;
+    if (mJobs.Find(id, &present)) {
+      continue;
+    }
+    if (job.state == uint8_t(job_state::Running)) {
+      mInherited[id] = job;
+    } else {
+      mJobs.AddInherited(job, aNow);
+    }
+  }
+  for (const wire::record_summary& item : aPart.starts) {
+    mRecovered[JobOf(item.ref())].push_back(
+      { item.ref().index(), record_state(item.state()), false, "" });
+  }
+  if (!aPart.last) {
+    return;
+  }
+  // The previous owner knew all starts; only what it lists is still missing.
+  mMissing.clear();
+  for (const wire::listed_worker_msg& listed : aPart.workers) {
+    known_worker worker{ listed.name,
+                         listed.incarnation,
+                         aNow - milliseconds(listed.age_ms) };
+    auto present = mWorkers.find(listed.name);
+    bool reported =
+      present != mWorkers.end() && present->second.mRecordsIn &&
+      present->second.mIdentity.mIncarnation == listed.incarnation;
+    if (!listed.needed) {
+      mRosterGone.push_back(std::move(worker));
+    } else if (!reported) {
+      mMissing.push_back(std::move(worker));
+    }
+  }
+  CheckComplete(aNow);
+}
+
+void
+shard_owner::ListWorkers(wire::handover_msg* aPart, instant aNow) const
+{
+  auto add = [&](const known_worker& aWorker, bool aNeeded) {
+    wire::listed_worker_msg listed;
+    listed.name = aWorker.mName;
+    listed.incarnation = aWorker.mIncarnation;
+    auto age =
+      std::chrono::duration_cast<milliseconds>(aNow - aWorker.mLastAlive);
+    listed.age_ms = uint64_t(std::max<int64_t>(0, age.count()));
+    listed.needed = aNeeded;
+    aPart->workers.push_back(std::move(listed));
+  };
+  for (const known_worker& missing : mMissing) {
+    add(missing, true);
+  }
+  for (const known_worker& gone : mRosterGone) {
+    add(gone, false);
+  }
+  for (const auto& [name, row] : mWorkers) {
+    add({ name, row.mIdentity.mIncarnation, row.mLastHeard }, row.mPeer != 0);
+  }
+}
+
+void
+shard_owner::HandOver(peer_id aSuccessor, instant aNow)
+{
+  wire::handover_msg part;
+  size_t tasks = 0;
+  auto flush = [&](bool aLast) {
+    part.shard = mOptions.mShard;
+    part.epoch = mEpoch;
+    part.last = aLast;
+    mNetwork.Send(aSuccessor, MakeMessage(std::move(part)));
+    part = wire::handover_msg();
+    tasks = 0;
+  };
+  for (const auto& [handle, row] : mJobs.Rows()) {
+    wire::decided_job_msg job;
+    job.job_hi = row.mSubmission.mId.mHi;
+    job.job_lo = row.mSubmission.mId.mLo;
+    job.team = row.mSubmission.mTeam;
+    job.fingerprint = row.mFingerprint;
+    job.state = uint8_t(row.mState);
+    for (uint32_t i = 0; i < row.mTasks.size(); i++) {
+      if (row.mTasks[i].mState == task_state::Settled) {
+        job.tasks.push_back(row.mResults[i]);
+      }
+    }
+    tasks += 1 + job.tasks.size();
+    part.answers.push_back(std::move(job));
+    if (tasks >= kHandoverTasks) {
+      flush(false);
+    }
+  }
+  for (const auto& [id, recovered] : mRecovered) {
+    for (const recovered_task& task : recovered) {
+      if (task.mWorker.empty()) {
+        part.starts.emplace_back(
+          RefOf(id, task.mIndex), uint8_t(task.mState), false);
+      }
+    }
+  }
+  for (const auto& [name, row] : mWorkers) {
+    // Nobody can be asked about these at present: they count as started.
+    for (const auto& [ref, flown] : row.mFlights) {
+      if (row.mPeer == 0) {
+        part.starts.emplace_back(ref, uint8_t(record_state::Running), false);
+      }
+    }
+  }
+  ListWorkers(&part, aNow);
+  flush(true);
+}
+
+std::vector<shard_owner::moved_job>
+shard_owner::StepDown(peer_id aSuccessor, instant aNow)
+{
+  if (aSuccessor != 0) {
+    HandOver(aSuccessor, aNow);
+  }
+  std::vector<moved_job> moved;
+  for (auto& [handle, row] : mJobs.Rows()) {
+    if (row.mState != job_state::Running) {
+      continue;
+    }
+    submission again = row.mSubmission;
+    again.mDeadline = std::max(duration(0), row.mDeadline - aNow);
+    moved.push_back({ std::move(again), std::move(row.mWaiters) });
+  }
+  for (held_submission& held : mHeld) {
+    moved.push_back({ std::move(held.mSubmission), { held.mWaiter } });
+  }
+  mHeld.clear();
+  for (auto& [name, row] : mWorkers) {
+    if (row.mPeer == 0) {
+      continue;
+    }
+    row.mBatch.clear();
+    wire::lease_release_msg release;
+    release.shard = mOptions.mShard;
+    release.epoch = mEpoch;
+    mNetwork.Send(row.mPeer, MakeMessage(std::move(release)));
+  }
+  mEvents.Emit(event_code::ShardReleased,
+               { { "shard", std::to_string(mOptions.mShard) },
+                 { "moved_jobs", std::to_string(moved.size()) } });
+  return moved;
+}
+
+} // namespace cactusmast
--- /dev/null
+++ b/cactusmast/shard_owner_jobs.cc
@@ -0,0 +1,762 @@
+// The jobs' side of shard_owner: acceptance, dispatch, results and answers.
+
+#include <algorithm>
+
+#include "cactusmast/shard_owner.h"
+
+namespace cactusmast {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kRefusedBackOff{ 200 };
+// A task is not sent to a worker on which half of its expected run time is
+// already more than what is left before the deadline.
+constexpr int kHopelessDivisor = 2;
+
+wire::task_result_msg
+MadeResult(const task_ref& aRef, run_state aRun, task_reason aReason)
+{
+  wire::task_result_msg made;
+  made.ref = aRef;
+  made.outcome = uint8_t(task_outcome::Failed);
+  made.run = uint8_t(aRun);
+  made.reason = uint8_t(aReason);
+  return made;
+}
+
+bool
+IsWorkersFault(const wire::task_result_msg& aResult)
+{
+  auto reason = task_reason(aResult.reason);
+  return aResult.outcome == uint8_t(task_outcome::Failed) &&
+         (reason == task_reason::BackendError ||
+          reason == task_reason::BackendLost ||
+          reason == task_reason::TimedOut);
+}
+
+} // namespace
+
+void
+shard_owner::Refuse(const waiter& aWaiter, const failure& aError)
+{
+  wire::job_reply_msg reply;
+  reply.error = uint8_t(aError.Code());
+  reply.text = aError.what();
+  reply.step = aError.Step();
+  reply.peer = aError.Peer();
+  reply.run = uint8_t(aError.Run());
+  reply.retry_after_ms = uint32_t(aError.RetryAfter().count());
+  mCounters.mJobsRefused++;
+  mAnswers.Answer(aWaiter.mToken, std::move(reply));
+}
+
+void
+shard_owner::AnswerFrom(const job_row& aRow, const waiter& aWaiter)
+{
+  wire::job_reply_msg reply;
+  reply.state = uint8_t(aRow.mState);
+  if (aRow.mOutputsGone) {
+    reply.error = uint8_t(error_code::NotFound);
+    reply.text = "the job's outputs are no longer held";
+    reply.step = "fetch answer";
+    reply.run = uint8_t(run_state::Run);
+  } else if (aRow.mState != job_state::Running) {
+    reply.tasks = aRow.mResults;
+  }
+  mAnswers.Answer(aWaiter.mToken, std::move(reply));
+}
+
+void
+shard_owner::AddWaiter(job_handle aJob, const waiter& aWaiter)
+{
+  mJobs.At(aJob).mWaiters.push_back(aWaiter);
+  mWaiterEnds.emplace(aWaiter.mUntil, std::make_pair(aJob, aWaiter.mToken));
+}
+
+void
+shard_owner::Submit(submission aSubmission, const waiter& aWaiter, instant aNow)
+{
+  job_handle known = 0;
+  if (mSafeguards.mDeduplicateJobs && mJobs.Find(aSubmission.mId, &known)) {
+    const job_row& row = mJobs.At(known);
+    if (row.mFingerprint != aSubmission.Fingerprint()) {
+      Refuse(aWaiter,
+             failure(error_code::Conflict,
+                     "accept",
+                     "caller",
+                     "the key was used for a submission with other content"));
+      return;
+    }
+    if (row.mState != job_state::Running) {
+      AnswerFrom(row, aWaiter);
+    } else {
+      AddWaiter(known, aWaiter);
+    }
+    return;
+  }
+  if (!Complete()) {
+    if (mHeld.size() >= mOptions.mMaxHeld) {
+      Refuse(aWaiter,
+             failure(error_code::Overloaded,
+                     "accept",
+                     "",
+                     "too many submissions wait for start records",
+                     run_state::Unknown,
+                     std::chrono::seconds(2)));
+      return;
+    }
+    instant until = std::max(aNow, mClaimedAt + mOptions.mHold);
+    mHeld.push_back({ std::move(aSubmission), aWaiter, until });
+    return;
+  }
+  Accept(std::move(aSubmission), aWaiter, aNow);
+}
+
+void
+shard_owner::ReleaseHeld(instant aNow)
+{
+  while (!mHeld.empty()) {
+    held_submission& front = mHeld.front();
+    bool ready = Complete();
+    if (!ready && aNow < front.mUntil) {
+      return;
+    }
+    held_submission held = std::move(front);
+    mHeld.pop_front();
+    if (ready) {
+      Submit(std::move(held.mSubmission), held.mWaiter, aNow);
+      continue;
+    }
+    // An earlier owner may have accepted this key and started its tasks on a
+    // worker that cannot be asked. Starting them again could run them twice.
+    instant ends{};
+    for (const known_worker& missing : mMissing) {
+      ends = std::max(ends, missing.mLastAlive + mOptions.mJobs.mRetention);
+    }
+    Refuse(held.mWaiter,
+           failure(error_code::InDoubt,
+                   "accept",
+                   mMissing.front().mName,
+                   "an earlier submission under this key may have started on "
+                   "a worker that does not answer",
+                   run_state::Unknown,
+                   std::chrono::duration_cast<milliseconds>(ends - aNow)));
+  }
+}
+
+const profile&
+shard_owner::ProfileFor(const submission& aSubmission, bool aKnownJob)
+{
+  auto found = mConfig.mProfiles.find(aSubmission.mProfile);
+  if (found == mConfig.mProfiles.end()) {
+    throw failure(error_code::NotFound,
+                  "accept",
+                  "caller",
+                  "no profile " + aSubmission.mProfile);
+  }
+  if (found->second.mRetired && !aKnownJob) {
+    throw failure(error_code::NotFound,
+                  "accept",
+                  "caller",
+                  "profile " + aSubmission.mProfile + " is retired");
+  }
+  return found->second;
+}
+
+uint32_t
+shard_owner::TeamFor(const std::string& aName)
+{
+  auto found = mConfig.mTeams.find(aName);
+  if (found != mConfig.mTeams.end()) {
+    return mDispatcher.SetTeam(found->second);
+  }
+  team unlisted;
+  unlisted.mName = aName;
+  return mDispatcher.SetTeam(unlisted);
+}
+
+void
+shard_owner::CheckSatisfiable(uint32_t aLane, instant aNow)
+{
+  if (mDispatcher.Satisfiable(aLane)) {
+    return;
+  }
+  const profile& needs = mDispatcher.LaneProfile(aLane);
+  for (const auto& [name, absent] : mAbsent) {
+    bool recent = aNow - absent.second < mOptions.mJobs.mRetention;
+    if (recent && dispatcher::Fits(absent.first, needs)) {
+      return; // it may come back within the deadline
+    }
+  }
+  throw failure(error_code::Unsatisfiable,
+                "accept",
+                "",
+                "no known backend server runs service " + needs.mService +
+                  " with " + std::to_string(needs.mCpus) + " cpus, " +
+                  std::to_string(needs.mMemoryMb) + " MB and " +
+                  std::to_string(needs.mAccelerators) + " accelerators");
+}
+
+void
+shard_owner::Accept(submission aSubmission, const waiter& aWaiter, instant aNow)
+{
+  job_id id = aSubmission.mId;
+  bool recovered = mRecovered.count(id) > 0 || mInherited.count(id) > 0;
+  uint32_t count = uint32_t(aSubmission.mPayloads.size());
+  try {
+    const profile& rules = ProfileFor(aSubmission, recovered);
+    uint32_t lane = mDispatcher.SetLane(rules);
+    uint32_t teamIndex = TeamFor(aSubmission.mTeam);
+    duration deadline = milliseconds(rules.mDeadlineMs);
+    if (aSubmission.mDeadline.count() > 0) {
+      deadline = std::min(deadline, aSubmission.mDeadline);
+    }
+    aSubmission.mDeadline = deadline;
+    bool discovering = aNow - mClaimedAt < mOptions.mDiscovery;
+    if (!recovered) {
+      if (!discovering) {
+        CheckSatisfiable(lane, aNow);
+      }
+      MakeRoom(lane, rules.mPriority, count, aNow);
+      mDispatcher.Admit(
+        lane, teamIndex, count, deadline, mRandom.NextUniform());
+    }
+    job_handle job = mJobs.Add(std::move(aSubmission), aNow);
+    job_row& row = mJobs.At(job);
+    row.mLane = lane;
+    row.mTeam = teamIndex;
+    row.mPriority = rules.mPriority;
+    mCounters.mJobsAccepted++;
+    AddWaiter(job, aWaiter);
+    if (recovered && RestoreTasks(job, aNow)) {
+      return; // nothing is left to start or to wait for
+    }
+    uint32_t queued = 0;
+    for (const task_entry& task : row.mTasks) {
+      queued += task.mState == task_state::Queued ? 1 : 0;
+    }
+    mDispatcher.Enqueue(job, lane, teamIndex, row.mPriority, queued);
+    if (!mDispatcher.Satisfiable(lane)) {
+      mUnsatisfiable.push_back(job);
+    }
+  } catch (const failure& error) {
+    Refuse(aWaiter, error);
+  }
+}
+
+void
+shard_owner::MakeRoom(uint32_t aLane,
+                      uint32_t aPriority,
+                      uint32_t aCount,
+                      instant aNow)
+{
+  uint32_t queued = mDispatcher.Queue().Queued(aLane);
+  uint32_t limit = mDispatcher.LaneProfile(aLane).mQueueLimit;
+  if (queued + aCount <= limit) {
+    return;
+  }
+  uint32_t missing = queued + aCount - limit;
+  for (job_handle victim : mDispatcher.ShedFor(aLane, aPriority, missing)) {
+    SettleQueued(victim, task_reason::Shed, aNow);
+  }
+}
+
+// Fills in what is known of the job's earlier submission. True when that
+// decided the job.
+bool
+shard_owner::RestoreTasks(job_handle aJob, instant aNow)
+{
+  job_id id = mJobs.At(aJob).mSubmission.mId;
+  auto inherited = mInherited.find(id);
+  if (inherited != mInherited.end()) {
+    for (wire::task_result_msg& result : inherited->second.tasks) {
+      SettleResult(aJob, std::move(result), aNow);
+    }
+    mInherited.erase(inherited);
+  }
+  auto recovered = mRecovered.find(id);
+  if (recovered != mRecovered.end()) {
+    std::vector<recovered_task> tasks = std::move(recovered->second);
+    mRecovered.erase(recovered);
+    for (const recovered_task& task : tasks) {
+      RestoreTask(aJob, task, aNow);
+    }
+  }
+  return mJobs.At(aJob).mState != job_state::Running;
+}
+
+void
+shard_owner::RestoreTask(job_handle aJob,
+                         const recovered_task& aTask,
+                         instant aNow)
+{
+  job_row& row = mJobs.At(aJob);
+  if (aTask.mIndex >= row.mTasks.size() ||
+      row.mTasks[aTask.mIndex].mState == task_state::Settled) {
+    return;
+  }
+  auto worker = mWorkers.find(aTask.mWorker);
+  if (worker == mWorkers.end()) {
+    bool ended = aTask.mState == record_state::Finished;
+    SettleTask(aJob,
+               aTask.mIndex,
+               ended ? run_state::Run : run_state::Unknown,
+               ended ? task_reason::ResultGone : task_reason::WorkerLost,
+               aNow);
+    return;
+  }
+  // Its result is on the way, or is asked for here.
+  row.mTasks[aTask.mIndex].mState = task_state::Dispatched;
+  task_ref ref = RefOf(row.mSubmission.mId, aTask.mIndex);
+  worker_row& holder = worker->second;
+  holder.mRestored[ref] = aJob;
+  if (aTask.mState == record_state::Finished && holder.mPeer != 0) {
+    wire::fetch_msg ask;
+    ask.refs.push_back(ref);
+    mCounters.mFetchMessages++;
+    mNetwork.Send(holder.mPeer, MakeMessage(std::move(ask)));
+  }
+}
+
+void
+shard_owner::SettleResult(job_handle aJob,
+                          wire::task_result_msg aResult,
+                          instant aNow)
+{
+  bool decided = false;
+  if (!mJobs.Settle(aJob, std::move(aResult), aNow, &decided)) {
+    mCounters.mDuplicateResults++;
+    return;
+  }
+  if (!decided) {
+    return;
+  }
+  job_row& row = mJobs.At(aJob);
+  bool complete = row.mState == job_state::Complete;
+  (complete ? mCounters.mJobsComplete : mCounters.mJobsFailed)++;
+  mEvents.Emit(event_code::JobDecided,
+               { { "job", row.mSubmission.mId.Text() },
+                 { "state", std::string(Name(row.mState)) } });
+  std::vector<waiter> waiters = std::move(row.mWaiters);
+  row.mWaiters.clear();
+  for (const waiter& waiting : waiters) {
+    AnswerFrom(row, waiting);
+  }
+}
+
+void
+shard_owner::SettleTask(job_handle aJob,
+                        uint32_t aIndex,
+                        run_state aRun,
+                        task_reason aReason,
+                        instant aNow)
+{
+  if (!mJobs.Has(aJob)) {
+    return;
+  }
+  task_ref ref = RefOf(mJobs.At(aJob).mSubmission.mId, aIndex);
+  SettleResult(aJob, MadeResult(ref, aRun, aReason), aNow);
+}
+
+void
+shard_owner::SettleQueued(job_handle aJob, task_reason aReason, instant aNow)
+{
+  mDispatcher.Remove(aJob);
+  job_row& row = mJobs.At(aJob);
+  for (uint32_t i = 0; i < row.mTasks.size(); i++) {
+    if (row.mTasks[i].mState == task_state::Queued) {
+      SettleTask(aJob, i, run_state::NotRun, aReason, aNow);
+    }
+  }
+}
+
+void
+shard_owner::OnResults(peer_id aPeer,
+                       const wire::results_msg& aResults,
+                       instant aNow)
+{
+  worker_row* row = FindByPeer(aPeer);
+  if (row == nullptr) {
+    return;
+  }
+  row->mLastHeard = aNow;
+  mCounters.mResultMessages++;
+  if (aResults.epoch == mEpoch) {
+    ConfirmLease(*row, aResults.sequence, aNow);
+  }
+  for (const wire::task_result_msg& item : aResults.items) {
+    if (item.outcome == uint8_t(task_outcome::Refused)) {
+      OnRefused(*row, item, aNow);
+    } else {
+      OnResult(*row, item, aNow);
+    }
+  }
+  UpdateAccepting(*row, aNow);
+}
+
+void
+shard_owner::OnResult(worker_row& aRow,
+                      const wire::task_result_msg& aResult,
+                      instant aNow)
+{
+  mCounters.mResultTasks++;
+  if (aRow.mAcks.empty()) {
+    aRow.mAcksSince = aNow;
+  }
+  aRow.mAcks.push_back(aResult.ref);
+  if (aRow.mAdopted.erase(aResult.ref) > 0) {
+    mDispatcher.ReleaseAdopted(aRow.mHandle);
+  }
+  auto restored = aRow.mRestored.find(aResult.ref);
+  if (restored != aRow.mRestored.end()) {
+    job_handle job = restored->second;
+    aRow.mRestored.erase(restored);
+    SettleResult(job, aResult, aNow);
+    return;
+  }
+  auto found = aRow.mFlights.find(aResult.ref);
+  if (found == aRow.mFlights.end()) {
+    mCounters.mDuplicateResults++;
+    return;
+  }
+  flight landed = found->second;
+  aRow.mFlights.erase(found);
+  bool wasAside = mDispatcher.SetAside(aRow.mHandle, aNow);
+  mDispatcher.Finished({ aRow.mHandle,
+                         landed.mLane,
+                         landed.mTeam,
+                         landed.mExpected,
+                         duration(int64_t(aResult.run_us)),
+                         IsWorkersFault(aResult) },
+                       aNow);
+  if (!wasAside && mDispatcher.SetAside(aRow.mHandle, aNow)) {
+    mEvents.Emit(event_code::WorkerSetAside,
+                 { { "worker", aRow.mIdentity.mName } });
+  }
+  SettleResult(landed.mJob, aResult, aNow);
+}
+
+void
+shard_owner::OnRefused(worker_row& aRow,
+                       const wire::task_result_msg& aResult,
+                       instant aNow)
+{
+  mCounters.mRefusedTasks++;
+  aRow.mAcks.push_back(aResult.ref);
+  if (aRow.mAcks.size() == 1) {
+    aRow.mAcksSince = aNow;
+  }
+  auto found = aRow.mFlights.find(aResult.ref);
+  if (found == aRow.mFlights.end()) {
+    return;
+  }
+  flight back = found->second;
+  aRow.mFlights.erase(found);
+  mDispatcher.NotStarted(aRow.mHandle, back.mLane, back.mTeam, back.mExpected);
+  auto reason = task_reason(aResult.reason);
+  if (reason == task_reason::StaleLease) {
+    aRow.mLeased = false;
+    aRow.mLeaseEnd = {};
+  } else if (reason != task_reason::Tombstone) {
+    // What the guard is short of does not come back within a round trip.
+    aRow.mBackOffUntil = aNow + kRefusedBackOff;
+  }
+  Requeue(back, aResult.ref.index(), reason != task_reason::Tombstone, aNow);
+}
+
+// Dispatches a task again that certainly did not start.
+void
+shard_owner::Requeue(const flight& aFlight,
+                     uint32_t aIndex,
+                     bool aCounted,
+                     instant aNow)
+{
+  if (!mJobs.Has(aFlight.mJob)) {
+    return;
+  }
+  job_row& row = mJobs.At(aFlight.mJob);
+  if (row.mState != job_state::Running ||
+      row.mTasks[aIndex].mState != task_state::Dispatched) {
+    return;
+  }
+  task_entry& task = row.mTasks[aIndex];
+  if (row.mCancelled) {
+    SettleTask(
+      aFlight.mJob, aIndex, run_state::NotRun, task_reason::Cancelled, aNow);
+    return;
+  }
+  if (aCounted) {
+    task.mAttempts++;
+    uint32_t limit = mDispatcher.LaneProfile(row.mLane).mRetryLimit;
+    if (task.mAttempts > limit || !mDispatcher.TakeRetry()) {
+      SettleTask(aFlight.mJob,
+                 aIndex,
+                 run_state::NotRun,
+                 task_reason::RetriesSpent,
+                 aNow);
+      return;
+    }
+  }
+  task.mState = task_state::Queued;
+  row.mReturned.push_back(aIndex);
+  mCounters.mRepeatedTasks++;
+  mDispatcher.PutBack(aFlight.mJob, row.mLane, row.mTeam, row.mPriority);
+}
+
+void
+shard_owner::Schedule(instant aNow)
+{
+  assignment start;
+  while (mDispatcher.Next(aNow, &start)) {
+    job_row& row = mJobs.At(start.mJob);
+    worker_row& worker = mWorkers[mWorkerByHandle[start.mWorker]];
+    uint32_t index = 0;
+    bool taken = job_table::TakeQueued(row, &index);
+    bool hopeless = row.mDeadline - aNow < start.mExpected / kHopelessDivisor;
+    if (!taken || hopeless) {
+      mDispatcher.NotStarted(
+        start.mWorker, start.mLane, start.mTeam, start.mExpected);
+      if (taken) {
+        SettleTask(
+          start.mJob, index, run_state::NotRun, task_reason::TimedOut, aNow);
+      }
+      continue;
+    }
+    row.mTasks[index].mState = task_state::Dispatched;
+    task_ref ref = RefOf(row.mSubmission.mId, index);
+    worker.mFlights[ref] = {
+      start.mJob, start.mLane, start.mTeam, start.mExpected
+    };
+    AddToBatch(worker, start, index, aNow);
+  }
+}
+
+void
+shard_owner::AddToBatch(worker_row& aRow,
+                        const assignment& aStart,
+                        uint32_t aIndex,
+                        instant aNow)
+{
+  const job_row& job = mJobs.At(aStart.mJob);
+  const profile& rules = mDispatcher.LaneProfile(aStart.mLane);
+  auto left =
+    std::chrono::duration_cast<milliseconds>(job.mDeadline - aNow).count();
+  wire::dispatch_item_msg item;
+  item.ref = RefOf(job.mSubmission.mId, aIndex);
+  item.profile = rules.mName;
+  item.service = rules.mService;
+  item.payload = job.mSubmission.mPayloads[aIndex];
+  item.timeout_ms = uint32_t(
+    std::min<int64_t>(rules.mTaskTimeoutMs, std::max<int64_t>(1, left)));
+  if (aRow.mBatch.empty()) {
+    aRow.mBatchSince = aNow;
+    aRow.mBatchUrgent = false;
+  }
+  if (rules.mPreference == cost_preference::ResponseTime) {
+    aRow.mBatchUrgent = true;
+  }
+  aRow.mBatch.push_back(std::move(item));
+  mCounters.mDispatchedTasks++;
+}
+
+void
+shard_owner::Flush(worker_row& aRow, instant aNow)
+{
+  if (aRow.mPeer == 0) {
+    return;
+  }
+  bool due =
+    aRow.mBatchUrgent || aNow - aRow.mBatchSince >= mOptions.mDispatchLinger;
+  if (!aRow.mBatch.empty() && due) {
+    NextSequence(aRow, aNow);
+    wire::dispatch_msg send;
+    send.epoch = mEpoch;
+    send.sequence = aRow.mSequence;
+    send.items = std::move(aRow.mBatch);
+    send.acks = std::move(aRow.mAcks);
+    aRow.mBatch.clear();
+    aRow.mAcks.clear();
+    mCounters.mDispatchMessages++;
+    mNetwork.Send(aRow.mPeer, MakeMessage(std::move(send)));
+    return;
+  }
+  if (!aRow.mAcks.empty() && aRow.mBatch.empty() &&
+      aNow - aRow.mAcksSince >= mOptions.mAckLinger) {
+    wire::result_ack_msg ack;
+    ack.refs = std::move(aRow.mAcks);
+    aRow.mAcks.clear();
+    mCounters.mAckMessages++;
+    mNetwork.Send(aRow.mPeer, MakeMessage(std::move(ack)));
+  }
+}
+
+void
+shard_owner::ExpireDeadlines(instant aNow)
+{
+  for (job_handle job : mJobs.TakeOverdue(aNow)) {
+    job_row& row = mJobs.At(job);
+    if (aNow < row.mDeadline + mOptions.mDeadlineGrace) {
+      // What runs is cut off by its guard at the same time; its results are
+      // about to arrive and say for certain how each task ended.
+      instant deadline = row.mDeadline;
+      SettleQueued(job, task_reason::TimedOut, aNow);
+      mJobs.WatchDeadline(job, deadline + mOptions.mDeadlineGrace);
+      continue;
+    }
+    for (uint32_t i = 0; i < row.mTasks.size(); i++) {
+      if (row.mTasks[i].mState == task_state::Dispatched) {
+        SettleTask(job, i, run_state::Unknown, task_reason::TimedOut, aNow);
+      }
+    }
+  }
+}
+
+void
+shard_owner::ExpireWaiters(instant aNow)
+{
+  while (!mWaiterEnds.empty() && mWaiterEnds.begin()->first <= aNow) {
+    auto [job, token] = mWaiterEnds.begin()->second;
+    mWaiterEnds.erase(mWaiterEnds.begin());
+    if (!mJobs.Has(job)) {
+      continue;
+    }
+    job_row& row = mJobs.At(job);
+    uint64_t wanted = token;
+    auto found = std::find_if(
+      row.mWaiters.begin(), row.mWaiters.end(), [wanted](const waiter& aOne) {
+        return aOne.mToken == wanted;
+      });
+    if (found != row.mWaiters.end()) {
+      waiter ended = *found;
+      row.mWaiters.erase(found);
+      AnswerFrom(row, ended);
+    }
+  }
+}
+
+void
+shard_owner::FailUnsatisfiable(instant aNow)
+{
+  if (mUnsatisfiable.empty() || aNow - mClaimedAt < mOptions.mDiscovery) {
+    return;
+  }
+  std::vector<job_handle> candidates = std::move(mUnsatisfiable);
+  mUnsatisfiable.clear();
+  for (job_handle job : candidates) {
+    if (!mJobs.Has(job) || mJobs.At(job).mState != job_state::Running) {
+      continue;
+    }
+    try {
+      CheckSatisfiable(mJobs.At(job).mLane, aNow);
+    } catch (const failure&) {
+      SettleQueued(job, task_reason::NeverSatisfied, aNow);
+    }
+  }
+}
+
+void
+shard_owner::Watch(const std::string& aTeam,
+                   const job_id& aId,
+                   const waiter& aWaiter,
+                   instant aNow)
+{
+  job_handle job = 0;
+  bool found =
+    mJobs.Find(aId, &job) && mJobs.At(job).mSubmission.mTeam == aTeam;
+  if (found) {
+    const job_row& row = mJobs.At(job);
+    if (row.mState == job_state::Running && aWaiter.mUntil > aNow) {
+      AddWaiter(job, aWaiter);
+    } else {
+      AnswerFrom(row, aWaiter);
+    }
+    return;
+  }
+  bool known = mRecovered.count(aId) > 0 || !Complete();
+  if (known) {
+    Refuse(aWaiter,
+           failure(error_code::InDoubt,
+                   "find job",
+                   "",
+                   "the entry that held this job is gone; submit it again "
+                   "under the same key to have it completed",
+                   run_state::Unknown,
+                   std::chrono::seconds(1)));
+    return;
+  }
+  if (aNow - mClaimedAt < mOptions.mHold) {
+    // The previous owner may be about to submit it here.
+    Refuse(aWaiter,
+           failure(error_code::Unavailable, kRouteStep, "", "just claimed"));
+    return;
+  }
+  Refuse(aWaiter,
+         failure(error_code::NotFound, "find job", "caller", "no such job"));
+}
+
+void
+shard_owner::Cancel(const std::string& aTeam,
+                    const job_id& aId,
+                    const waiter& aWaiter,
+                    instant aNow)
+{
+  job_handle job = 0;
+  bool found =
+    mJobs.Find(aId, &job) && mJobs.At(job).mSubmission.mTeam == aTeam;
+  if (!found) {
+    Watch(aTeam, aId, aWaiter, aNow);
+    return;
+  }
+  if (mJobs.At(job).mState != job_state::Running) {
+    AnswerFrom(mJobs.At(job), aWaiter);
+    return;
+  }
+  mJobs.At(job).mCancelled = true;
+  AddWaiter(job, aWaiter);
+  mEvents.Emit(event_code::JobCancelled, { { "job", aId.Text() } });
+  SettleQueued(job, task_reason::Cancelled, aNow);
+  if (mJobs.At(job).mState != job_state::Running) {
+    return;
+  }
+  // Only what was dispatched costs a message, one for each worker.
+  for (auto& [name, row] : mWorkers) {
+    wire::cancel_tasks_msg cancel;
+    for (const auto& [ref, flown] : row.mFlights) {
+      if (flown.mJob == job) {
+        cancel.refs.push_back(ref);
+      }
+    }
+    for (const auto& [ref, restored] : row.mRestored) {
+      if (restored == job) {
+        cancel.refs.push_back(ref);
+      }
+    }
+    if (!cancel.refs.empty() && row.mPeer != 0) {
+      mCounters.mCancelMessages++;
+      mNetwork.Send(row.mPeer, MakeMessage(std::move(cancel)));
+    }
+  }
+}
+
+void
+shard_owner::FailAll(instant aNow)
+{
+  std::vector<job_handle> running;
+  for (const auto& [handle, row] : mJobs.Rows()) {
+    if (row.mState == job_state::Running) {
+      running.push_back(handle);
+    }
+  }
+  for (job_handle job : running) {
+    SettleQueued(job, task_reason::WorkerLost, aNow);
+    job_row& row = mJobs.At(job);
+    for (uint32_t i = 0; i < row.mTasks.size(); i++) {
+      if (row.mTasks[i].mState == task_state::Dispatched) {
+        SettleTask(job, i, run_state::Unknown, task_reason::WorkerLost, aNow);
+      }
+    }
+  }
+}
+
+} // namespace cactusmast
--- /dev/null
+++ b/shell/backend_client.h
@@ -0,0 +1,44 @@
+// Runs tasks on the backend server beside a guard, over loopback HTTP
+// (docs/API.md, "Backend servers").
+
+#ifndef SHELL_BACKEND_CLIENT_H_
+#define SHELL_BACKEND_CLIENT_H_
+
+#include <functional>
+#include <string>
+#include <unordered_map>
+
+#include "cactusmast/guard_node.h"
+#include "shell/http_client.h"
+
+namespace cactusmast {
+
+class backend_client : public backend_port
+{
+public:
+  using callback = std::function<void(const task_end&)>;
+
+  explicit backend_client(callback aOnEnd);
+
+  // Where tasks go from now on.
+  void SetUrl(const std::string& aUrl) { mUrl = aUrl; }
+
+  void Start(const task_start& aTask) override;
+  void Cancel(const task_ref& aRef) override;
+
+private:
+  static task_end Decode(const task_ref& aRef, const http_response& aResponse);
+
+  std::string mUrl;
+  http_client mClient;
+  callback mOnEnd;
+  std::unordered_map<task_ref,
+                     gobject_ptr<GCancellable>,
+                     task_ref_hash,
+                     task_ref_equal>
+    mRunning;
+};
+
+} // namespace cactusmast
+
+#endif // SHELL_BACKEND_CLIENT_H_
--- /dev/null
+++ b/shell/daemon.cc
@@ -0,0 +1,162 @@
+#include "shell/daemon.h"
+
+#include <chrono>
+#include <csignal>
+#include <fstream>
+#include <glib-unix.h>
+#include <sstream>
+#include <unistd.h>
+
+namespace cactusmast {
+namespace {
+
+constexpr guint kTickMs = 10;
+// Between the node's end and the process's, for the last answers to leave.
+constexpr guint kLastWordsMs = 300;
+
+} // namespace
+
+instant
+Now()
+{
+  return instant(g_get_monotonic_time());
+}
+
+int64_t
+WallSeconds()
+{
+  return g_get_real_time() / G_USEC_PER_SEC;
+}
+
+uint64_t
+MakeIncarnation()
+{
+  // Time first, so that later starts compare greater; the process number
+  // tells starts within one microsecond apart.
+  return uint64_t(g_get_real_time()) * 4096 + uint64_t(getpid()) % 4096;
+}
+
+std::string
+ReadFile(const std::string& aPath)
+{
+  std::ifstream file(aPath, std::ios::binary);
+  if (!file) {
+    throw failure(
+      error_code::BadRequest, "read file", aPath, aPath + ": cannot be read");
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+daemon_loop::~daemon_loop()
+{
+  if (mLoop != nullptr) {
+    g_main_loop_unref(mLoop);
+  }
+}
+
+int
+daemon_loop::Run(uint32_t aDrainTimeoutMs)
+{
+  std::signal(SIGPIPE, SIG_IGN);
+  mDrainTimeoutMs = aDrainTimeoutMs;
+  mLoop = g_main_loop_new(nullptr, FALSE);
+  g_unix_signal_add(SIGTERM, &daemon_loop::OnSignal, this);
+  g_unix_signal_add(SIGINT, &daemon_loop::OnSignal, this);
+  g_timeout_add(kTickMs, &daemon_loop::OnTimer, this);
+  TickSoon();
+  g_main_loop_run(mLoop);
+  return mAborted ? 1 : 0;
+}
+
+void
+daemon_loop::TickSoon()
+{
+  if (mIdle == 0) {
+    mIdle = g_idle_add_full(
+      G_PRIORITY_HIGH_IDLE, &daemon_loop::OnIdle, this, nullptr);
+  }
+}
+
+gboolean
+daemon_loop::OnIdle(gpointer aData)
+{
+  auto* self = static_cast<daemon_loop*>(aData);
+  self->mIdle = 0;
+  self->OnTick();
+  self->CheckDrained();
+  return G_SOURCE_REMOVE;
+}
+
+gboolean
+daemon_loop::OnTimer(gpointer aData)
+{
+  auto* self = static_cast<daemon_loop*>(aData);
+  self->OnTick();
+  self->CheckDrained();
+  return G_SOURCE_CONTINUE;
+}
+
+void
+daemon_loop::CheckDrained()
+{
+  if (mDraining && !mAborted && !mLeaving && IsDrained()) {
+    mLeaving = true;
+    QuitSoon();
+  }
+}
+
+// The last answers are still in the sockets' buffers when the node is done.
+void
+daemon_loop::QuitSoon()
+{
+  g_timeout_add_full(
+    G_PRIORITY_LOW,
+    kLastWordsMs,
+    [](gpointer aLoop) -> gboolean {
+      g_main_loop_quit(static_cast<GMainLoop*>(aLoop));
+      return G_SOURCE_REMOVE;
+    },
+    mLoop,
+    nullptr);
+}
+
+void
+daemon_loop::BeginDrain()
+{
+  if (mDraining) {
+    return;
+  }
+  mDraining = true;
+  mDeadline = g_timeout_add(mDrainTimeoutMs, &daemon_loop::OnDeadline, this);
+  OnDrain();
+  TickSoon();
+}
+
+gboolean
+daemon_loop::OnSignal(gpointer aData)
+{
+  auto* self = static_cast<daemon_loop*>(aData);
+  if (!self->mDraining) {
+    self->BeginDrain();
+  } else {
+    OnDeadline(aData);
+  }
+  return G_SOURCE_CONTINUE;
+}
+
+gboolean
+daemon_loop::OnDeadline(gpointer aData)
+{
+  auto* self = static_cast<daemon_loop*>(aData);
+  if (self->mAborted) {
+    return G_SOURCE_REMOVE;
+  }
+  self->mAborted = true;
+  self->OnAbort();
+  self->QuitSoon();
+  return G_SOURCE_REMOVE;
+}
+
+} // namespace cactusmast
--- /dev/null
+++ b/shell/entry_daemon.cc
@@ -0,0 +1,589 @@
+#include "shell/entry_daemon.h"
+
+#include <nlohmann/json.hpp>
+
+#include "cactusmast/api_json.h"
+#include "shell/metrics_page.h"
+#include "util/constant_time.h"
+
+namespace cactusmast {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr uint32_t kDefaultAuditRows = 50;
+constexpr uint32_t kMaxAuditRows = 1000;
+
+std::string
+BearerToken(const http_exchange& aExchange)
+{
+  constexpr char kScheme[] = "Bearer ";
+  std::string header = aExchange.Header("Authorization");
+  return header.rfind(kScheme, 0) == 0 ? header.substr(sizeof kScheme - 1) : "";
+}
+
+// The name whose token was given; empty when there is none. Every token is
+// compared, so that the time does not tell which one came close.
+std::string
+HolderOf(const std::map<std::string, std::string>& aTokens,
+         const std::string& aGiven)
+{
+  std::string holder;
+  for (const auto& [name, token] : aTokens) {
+    if (EqualConstantTime(aGiven, token)) {
+      holder = name;
+    }
+  }
+  return holder;
+}
+
+bool
+StartsWith(const std::string& aText, const std::string& aPrefix)
+{
+  return aText.rfind(aPrefix, 0) == 0;
+}
+
+} // namespace
+
+entry_daemon::entry_daemon(const entry_settings& aSettings)
+  : mSettings(aSettings)
+  , mLog(aSettings.mProcess.mName, severity::Warning)
+  , mIncarnation(MakeIncarnation())
+  , mTable(aSettings.mProcess.mTableUrl,
+           aSettings.mProcess.mTableTimeoutMs,
+           [this](const table_reply& aReply) {
+             OnTableReply(aReply);
+             TickSoon();
+           })
+{
+}
+
+result<std::unique_ptr<entry_daemon>>
+entry_daemon::Create(const entry_settings& aSettings)
+{
+  std::unique_ptr<entry_daemon> made(new entry_daemon(aSettings));
+  try {
+    made->Open();
+  } catch (const failure& error) {
+    return error;
+  }
+  return made;
+}
+
+void
+entry_daemon::Open()
+{
+  const process_settings& process = mSettings.mProcess;
+  transport_options transport;
+  transport.mListen = process.mListen;
+  transport.mSharedKey = process.mSharedKey;
+  transport.mMaxFrame = process.mMaxFrameBytes;
+  transport.mMaxSend = process.mMaxSendBytes;
+  transport.mSelf.mRole = process_role::Entry;
+  transport.mSelf.mName = process.mName;
+  transport.mSelf.mIncarnation = mIncarnation;
+  transport.mSelf.mAddress = process.mListen;
+  transport.mSelf.mDataCenter = process.mDataCenter;
+  transport.mSelf.mRegion = process.mRegion;
+  mTransport =
+    std::move(peer_transport::Create(transport, *this, mLog).Value());
+  mHttp = std::move(http_server::Create(
+                      process.mHttp,
+                      mSettings.mApi.mMaxBody,
+                      [this](http_exchange& aOne) { OnRequest(aOne); },
+                      [this](uint64_t aId) {
+                        mOpen.erase(aId);
+                        mNode->CallerGone(aId);
+                      })
+                      .Value());
+  entry_options options;
+  options.mName = process.mName;
+  options.mIncarnation = mIncarnation;
+  options.mAddress = process.mListen;
+  options.mDataCenter = process.mDataCenter;
+  options.mRegion = process.mRegion;
+  options.mSeedEntries = process.mSeedEntries;
+  options.mIdentitySeed = Hash64(process.mSharedKey);
+  options.mMaxRequests = mSettings.mMaxOpenRequests;
+  options.mConfig.mInitialShardCount = mSettings.mInitialShards;
+  options.mOwner.mJobs.mRetention = milliseconds(mSettings.mRetentionMs);
+  options.mOwner.mJobs.mMaxAnswerBytes = mSettings.mMaxAnswerBytes;
+  mNode = std::make_unique<entry_node>(
+    options, *mTransport, mTable, *this, mLog, *this, Now());
+  mLog.Emit(event_code::ProcessStarted,
+            { { "role", "entry" },
+              { "http", process.mHttp },
+              { "listen", process.mListen } });
+}
+
+double
+entry_daemon::NextUniform()
+{
+  return g_random_double();
+}
+
+void
+entry_daemon::OnPeerUp(peer_id aPeer, const peer_identity& aIdentity)
+{
+  mNode->OnPeerUp(aPeer, aIdentity, Now());
+  TickSoon();
+}
+
+void
+entry_daemon::OnPeerDown(peer_id aPeer)
+{
+  mNode->OnPeerDown(aPeer, Now());
+  TickSoon();
+}
+
+void
+entry_daemon::OnPeerMessage(peer_id aPeer, const message& aMessage)
+{
+  mNode->OnMessage(aPeer, aMessage, Now());
+  TickSoon();
+}
+
+void
+entry_daemon::OnTick()
+{
+  mNode->Tick(Now(), WallSeconds());
+  mTransport->Flush();
+  mTransport->Sweep();
+}
+
+void
+entry_daemon::OnDrain()
+{
+  mNode->BeginDrain(Now());
+}
+
+bool
+entry_daemon::IsDrained()
+{
+  return mNode->Drained() && mOpen.empty() && !mTransport->OutputPending();
+}
+
+void
+entry_daemon::OnAbort()
+{
+  mNode->AbortDrain(Now());
+  mTransport->Flush();
+}
+
+void
+entry_daemon::Fail(uint64_t aExchange, const failure& aError)
+{
+  http_answer answer;
+  answer.mStatus = HttpStatus(aError.Code());
+  answer.mBody = RenderError(aError);
+  answer.mRetryAfterMs = aError.RetryAfter().count();
+  mHttp->Answer(aExchange, answer);
+}
+
+void
+entry_daemon::Reply(caller_id aCaller, const wire::job_reply_msg& aReply)
+{
+  auto found = mOpen.find(aCaller);
+  if (found == mOpen.end()) {
+    return;
+  }
+  open_request open = found->second;
+  mOpen.erase(found);
+  http_answer answer;
+  answer.mStatus = StatusOf(aReply);
+  answer.mRetryAfterMs = aReply.retry_after_ms;
+  bool whole = open.mRaw && aReply.error == 0 &&
+               aReply.state == uint8_t(job_state::Complete) &&
+               aReply.tasks.size() == 1;
+  if (whole) {
+    answer.mBody = aReply.tasks[0].output;
+    answer.mType = "application/octet-stream";
+  } else {
+    answer.mBody = RenderJobReply(open.mJob, aReply);
+    bool failedRun = open.mRaw && aReply.error == 0 &&
+                     aReply.state == uint8_t(job_state::Failed);
+    constexpr int kBadGateway = 502;
+    answer.mStatus = failedRun ? kBadGateway : answer.mStatus;
+  }
+  mHttp->Answer(aCaller, answer);
+}
+
+void
+entry_daemon::ChangeDone(const change_outcome& aOutcome)
+{
+  http_answer answer;
+  answer.mStatus = aOutcome.mAccepted ? 200 : HttpStatus(aOutcome.mError);
+  answer.mBody = RenderChange(aOutcome);
+  mHttp->Answer(aOutcome.mToken, answer);
+}
+
+void
+entry_daemon::OnRequest(http_exchange& aExchange)
+{
+  try {
+    Dispatch(aExchange);
+  } catch (const failure& error) {
+    Fail(aExchange.Id(), error);
+  }
+  TickSoon();
+}
+
+void
+entry_daemon::Dispatch(http_exchange& aExchange)
+{
+  const std::string& path = aExchange.Path();
+  const std::string& method = aExchange.Method();
+  uint64_t id = aExchange.Id();
+  const std::string kJob = "/v1/jobs/";
+  const std::string kRun = "/v1/run/";
+  const std::string kProfile = "/v1/profiles/";
+  const std::string kTeam = "/v1/teams/";
+  const std::string kAudit = "/v1/audit";
+  if (method == "POST" && path == "/v1/jobs") {
+    OnJobs(aExchange);
+  } else if (StartsWith(path, kJob)) {
+    OnJob(aExchange, path.substr(kJob.size()));
+  } else if (method == "POST" && StartsWith(path, kRun)) {
+    OnRun(aExchange, path.substr(kRun.size()));
+  } else if (method == "GET" && path == "/v1/profiles") {
+    mHttp->Answer(id, { 200, RenderProfiles(mNode->Config().InForce()) });
+  } else if (StartsWith(path, kProfile)) {
+    OnProfile(aExchange, path.substr(kProfile.size()));
+  } else if (method == "GET" && path == "/v1/teams") {
+    mHttp->Answer(id, { 200, RenderTeams(mNode->Config().InForce()) });
+  } else if (StartsWith(path, kTeam)) {
+    OnTeam(aExchange, path.substr(kTeam.size()));
+  } else if (method == "GET" && path == kAudit) {
+    OnAudit(aExchange, aExchange.Query("name"));
+  } else if (method == "GET" && path == "/v1/status") {
+    mHttp->Answer(id, { 200, RenderStatus(*mNode, Now()) });
+  } else if (method == "GET" && path == "/v1/workers") {
+    mHttp->Answer(id, { 200, RenderWorkers(*mNode, Now()) });
+  } else if (method == "POST" && path == "/v1/drain") {
+    OperatorOf(aExchange);
+    mHttp->Answer(id, { 202, "{\"draining\":true}" });
+    BeginDrain();
+  } else if (path == "/healthz") {
+    mHttp->Answer(id, { 200, "ok\n", "text/plain" });
+  } else if (path == "/readyz") {
+    bool ready = mNode->Ready();
+    mHttp->Answer(
+      id,
+      { ready ? 200 : 503, ready ? "ready\n" : "not ready\n", "text/plain" });
+  } else if (path == "/metrics") {
+    mHttp->Answer(id, Metrics());
+  } else {
+    throw failure(
+      error_code::NotFound, "find path", "caller", method + " " + path);
+  }
+}
+
+std::string
+entry_daemon::TeamOf(const http_exchange& aExchange) const
+{
+  if (mSettings.mTeamTokens.empty()) {
+    std::string named = aExchange.Header("X-Team");
+    return named.empty() ? "default" : CheckKey(named, mSettings.mApi).Value();
+  }
+  std::string holder = HolderOf(mSettings.mTeamTokens, BearerToken(aExchange));
+  if (holder.empty()) {
+    throw failure(error_code::Unauthorized,
+                  "authorize",
+                  "caller",
+                  "a team's token is needed");
+  }
+  return holder;
+}
+
+std::string
+entry_daemon::OperatorOf(const http_exchange& aExchange) const
+{
+  std::string holder =
+    HolderOf(mSettings.mOperatorTokens, BearerToken(aExchange));
+  if (holder.empty()) {
+    throw failure(error_code::Unauthorized,
+                  "authorize",
+                  "operator",
+                  "an operator's token is needed");
+  }
+  return holder;
+}
+
+const profile&
+entry_daemon::ProfileOf(const std::string& aName) const
+{
+  const deployment_config& config = mNode->Config().InForce();
+  auto found = config.mProfiles.find(aName);
+  if (found == config.mProfiles.end()) {
+    throw failure(
+      error_code::NotFound, "find profile", "caller", "no profile " + aName);
+  }
+  return found->second;
+}
+
+std::string
+entry_daemon::KeyOf(const http_exchange& aExchange, const profile& aProfile)
+{
+  std::string given = aExchange.Header("Idempotency-Key");
+  if (!given.empty()) {
+    return CheckKey(given, mSettings.mApi).Value();
+  }
+  if (!aProfile.mIdempotent) {
+    // Without a key, a caller that loses the reply could only repeat the
+    // request as a new one, and run it twice.
+    throw failure(error_code::BadRequest,
+                  "read key",
+                  "caller",
+                  "profile " + aProfile.mName +
+                    " is not idempotent: an Idempotency-Key is needed");
+  }
+  return "generated/" + std::to_string(mIncarnation) + "/" +
+         std::to_string(mNextKey++);
+}
+
+void
+entry_daemon::OnJobs(http_exchange& aExchange)
+{
+  std::string teamName = TeamOf(aExchange);
+  submission made =
+    std::move(ParseSubmission(aExchange.Body(), mSettings.mApi).Value());
+  made.mTeam = teamName;
+  made.mKey = KeyOf(aExchange, ProfileOf(made.mProfile));
+  made.mId = mNode->IdentityOf(made.mTeam, made.mKey);
+  uint32_t wait =
+    aExchange.QueryNumber("wait_ms", 0, mSettings.mApi.mMaxWaitMs);
+  mOpen[aExchange.Id()] = { made.mId, false };
+  mNode->Submit(aExchange.Id(), std::move(made), milliseconds(wait), Now());
+}
+
+void
+entry_daemon::OnRun(http_exchange& aExchange, const std::string& aProfile)
+{
+  submission made;
+  made.mTeam = TeamOf(aExchange);
+  const profile& rules = ProfileOf(aProfile);
+  made.mProfile = aProfile;
+  made.mKey = KeyOf(aExchange, rules);
+  made.mId = mNode->IdentityOf(made.mTeam, made.mKey);
+  made.mPayloads.push_back(aExchange.Body());
+  if (made.mPayloads[0].size() > mSettings.mApi.mMaxPayload) {
+    throw failure(
+      error_code::TooLarge, "read submission", "caller", "payload too large");
+  }
+  constexpr uint32_t kGraceMs = 3000;
+  uint32_t wait = rules.mDeadlineMs + kGraceMs;
+  mOpen[aExchange.Id()] = { made.mId, true };
+  mNode->Submit(aExchange.Id(), std::move(made), milliseconds(wait), Now());
+}
+
+void
+entry_daemon::OnJob(http_exchange& aExchange, const std::string& aId)
+{
+  std::string teamName = TeamOf(aExchange);
+  job_id id;
+  if (!job_id::Parse(aId, &id)) {
+    throw failure(
+      error_code::BadRequest, "read job", "caller", "not a job identity");
+  }
+  milliseconds wait(
+    aExchange.QueryNumber("wait_ms", 0, mSettings.mApi.mMaxWaitMs));
+  mOpen[aExchange.Id()] = { id, false };
+  if (aExchange.Method() == "GET") {
+    mNode->Watch(aExchange.Id(), teamName, id, wait, Now());
+  } else if (aExchange.Method() == "DELETE") {
+    mNode->Cancel(aExchange.Id(), teamName, id, wait, Now());
+  } else {
+    mOpen.erase(aExchange.Id());
+    throw failure(
+      error_code::BadRequest, "read job", "caller", "GET or DELETE");
+  }
+}
+
+void
+entry_daemon::SubmitChange(http_exchange& aExchange, config_change aChange)
+{
+  aChange.mToken = aExchange.Id();
+  aChange.mWho = OperatorOf(aExchange);
+  aChange.mReason = aExchange.Header("X-Reason");
+  constexpr size_t kMaxReason = 500;
+  if (aChange.mReason.empty() || aChange.mReason.size() > kMaxReason) {
+    throw failure(error_code::BadRequest,
+                  "read change",
+                  "operator",
+                  "a reason of 1 to 500 characters is needed (X-Reason)");
+  }
+  std::string revision = aExchange.Header("X-Expected-Revision");
+  if (aChange.mAction != change_action::PutTeam) {
+    guint64 value = 0;
+    bool good = g_ascii_string_to_unsigned(
+      revision.c_str(), 10, 0, G_MAXUINT64, &value, nullptr);
+    if (!good) {
+      throw failure(error_code::BadRequest,
+                    "read change",
+                    "operator",
+                    "X-Expected-Revision must be the revision you saw, or 0 "
+                    "to create");
+    }
+    aChange.mExpectedRevision = value;
+  }
+  aChange.mOperation =
+    std::to_string(mIncarnation) + "-" + std::to_string(mNextKey++);
+  mNode->Change(aChange, Now());
+}
+
+void
+entry_daemon::OnProfile(http_exchange& aExchange, const std::string& aName)
+{
+  const std::string& method = aExchange.Method();
+  if (method == "GET") {
+    mHttp->Answer(aExchange.Id(), { 200, SerializeProfile(ProfileOf(aName)) });
+    return;
+  }
+  config_change change;
+  if (method == "DELETE") {
+    change.mAction = change_action::RetireProfile;
+    change.mProfile.mName = aName;
+  } else if (method == "PUT") {
+    change.mProfile = ParseProfile(aExchange.Body()).Value();
+  } else {
+    throw failure(
+      error_code::BadRequest, "read change", "operator", "GET, PUT or DELETE");
+  }
+  if (change.mProfile.mName != aName) {
+    throw failure(error_code::BadRequest,
+                  "read change",
+                  "operator",
+                  "the name in the body differs from the path's");
+  }
+  SubmitChange(aExchange, std::move(change));
+}
+
+void
+entry_daemon::OnTeam(http_exchange& aExchange, const std::string& aName)
+{
+  if (aExchange.Method() != "PUT") {
+    throw failure(error_code::BadRequest, "read change", "operator", "PUT");
+  }
+  config_change change;
+  change.mAction = change_action::PutTeam;
+  change.mTeam = ParseTeam(aExchange.Body()).Value();
+  if (change.mTeam.mName != aName) {
+    throw failure(error_code::BadRequest,
+                  "read change",
+                  "operator",
+                  "the name in the body differs from the path's");
+  }
+  SubmitChange(aExchange, std::move(change));
+}
+
+void
+entry_daemon::OnAudit(http_exchange& aExchange, const std::string& aName)
+{
+  OperatorOf(aExchange);
+  audit_read read;
+  read.mExchange = aExchange.Id();
+  read.mName = aName;
+  read.mLimit =
+    aExchange.QueryNumber("limit", kDefaultAuditRows, kMaxAuditRows);
+  uint32_t rows = aName.empty() ? read.mLimit : kMaxAuditRows;
+  mAuditReads[mTable.Read("audit/", rows, true)] = read;
+}
+
+void
+entry_daemon::OnTableReply(const table_reply& aReply)
+{
+  auto found = mAuditReads.find(aReply.mRequest);
+  if (found == mAuditReads.end()) {
+    mNode->OnTableReply(aReply, Now());
+    return;
+  }
+  audit_read read = std::move(found->second);
+  mAuditReads.erase(found);
+  if (aReply.mStatus != table_status::Ok) {
+    Fail(read.mExchange,
+         failure(error_code::Unavailable,
+                 "read audit",
+                 "table",
+                 "the table does not answer",
+                 run_state::NotRun,
+                 std::chrono::seconds(1)));
+    return;
+  }
+  read.mRows.insert(read.mRows.end(), aReply.mRows.begin(), aReply.mRows.end());
+  if (!read.mSecond) {
+    read.mSecond = true;
+    mAuditReads[mTable.Read("refused/", read.mLimit, true)] = read;
+    return;
+  }
+  mHttp->Answer(read.mExchange, { 200, RenderAudit(read.mRows, read.mName) });
+}
+
+http_answer
+entry_daemon::Metrics() const
+{
+  metrics_page page;
+  owner_counters counts = mNode->Counters();
+  const transport_counters& links = mTransport->Counters();
+  struct counter_row
+  {
+    const char* mName;
+    const char* mHelp;
+    uint64_t mValue;
+  };
+  const counter_row kRows[] = {
+    { "jobs_accepted", "Jobs admitted.", counts.mJobsAccepted },
+    { "jobs_refused", "Submissions refused.", counts.mJobsRefused },
+    { "jobs_complete", "Jobs that completed.", counts.mJobsComplete },
+    { "jobs_failed", "Jobs that failed.", counts.mJobsFailed },
+    { "tasks_dispatched", "Tasks sent to workers.", counts.mDispatchedTasks },
+    { "tasks_repeated", "Tasks sent again.", counts.mRepeatedTasks },
+    { "tasks_refused", "Tasks refused by guards.", counts.mRefusedTasks },
+    { "results", "Results received.", counts.mResultTasks },
+    { "results_duplicate", "Results known before.", counts.mDuplicateResults },
+    { "dispatch_messages", "Dispatch messages.", counts.mDispatchMessages },
+    { "result_messages", "Result messages.", counts.mResultMessages },
+    { "ack_messages", "Acknowledgements alone.", counts.mAckMessages },
+    { "settle_messages", "Questions about tasks.", counts.mSettleMessages },
+    { "cancel_messages", "Cancellations.", counts.mCancelMessages },
+    { "fetch_messages", "Questions for results.", counts.mFetchMessages },
+    { "lease_messages", "Lease requests.", counts.mLeaseMessages },
+    { "requests_forwarded", "To other entries.", mNode->ForwardedRequests() },
+    { "http_requests", "HTTP requests.", mHttp->Served() },
+    { "peer_bytes_received", "Bytes from peers.", links.mBytesIn },
+    { "peer_bytes_sent", "Bytes to peers.", links.mBytesOut },
+    { "peer_messages_received", "Messages from peers.", links.mMessagesIn },
+    { "peer_messages_sent", "Messages to peers.", links.mMessagesOut },
+    { "peer_protocol_errors", "Malformed frames.", links.mProtocolErrors },
+    { "peer_refused", "Peers without proof.", links.mRefusedPeers },
+    { "send_budget_spent", "Peers cut off.", links.mSendBudgetSpent },
+    { "table_reads", "Reads of the table.", mTable.Counters().mReads },
+    { "table_writes", "Writes to the table.", mTable.Counters().mWrites },
+    { "table_unavailable",
+      "Table requests without an answer.",
+      mTable.Counters().mUnavailable },
+  };
+  for (const counter_row& row : kRows) {
+    page.Counter(std::string("cactusmast_") + row.mName + "_total",
+                 row.mHelp,
+                 double(row.mValue));
+  }
+  uint32_t queued = 0;
+  uint32_t undecided = 0;
+  for (const entry_node::shard_status& shard : mNode->Shards(Now())) {
+    queued += shard.mQueued;
+    undecided += shard.mUndecided;
+  }
+  page.Gauge("cactusmast_queued_tasks", "Tasks waiting here.", queued);
+  page.Gauge("cactusmast_undecided_jobs", "Jobs open here.", undecided);
+  page.Gauge("cactusmast_open_requests",
+             "Callers' requests open here.",
+             double(mNode->OpenRequests()));
+  page.Gauge("cactusmast_config_version",
+             "Configuration version in force.",
+             double(mNode->Config().InForce().mVersion));
+  AddProcessMetrics(&page);
+  return { 200, page.Render(), "text/plain; version=0.0.4" };
+}
+
+} // namespace cactusmast
--- /dev/null
+++ b/shell/guard_daemon.cc
@@ -0,0 +1,311 @@
+#include "shell/guard_daemon.h"
+
+#include <nlohmann/json.hpp>
+
+#include "shell/metrics_page.h"
+
+namespace cactusmast {
+namespace {
+
+using nlohmann::json;
+
+constexpr size_t kMaxAnnouncement = 64u << 10;
+constexpr uint32_t kMaxSlots = 1024;
+
+failure
+BadAnnouncement(const std::string& aText)
+{
+  return failure(error_code::BadRequest, "announce", "backend server", aText);
+}
+
+uint32_t
+ReadCount(const json& aObject, const char* aKey, uint32_t aMax)
+{
+  auto found = aObject.find(aKey);
+  if (found == aObject.end()) {
+    return 0;
+  }
+  if (!found->is_number_unsigned() || found->get<uint64_t>() > aMax) {
+    throw BadAnnouncement(std::string(aKey) +
+                          " must be a whole number from 0 to " +
+                          std::to_string(aMax));
+  }
+  return found->get<uint32_t>();
+}
+
+backend_announcement
+ParseAnnouncement(const std::string& aBody)
+{
+  json object = json::parse(aBody, nullptr, false);
+  if (!object.is_object()) {
+    throw BadAnnouncement("the body must be a JSON object");
+  }
+  backend_announcement made;
+  made.mUrl = object.value("url", "");
+  if (made.mUrl.rfind("http://127.", 0) != 0) {
+    throw BadAnnouncement("url must be an http URL on the loopback address");
+  }
+  json services = object.value("services", json::array());
+  if (!services.is_array() || services.empty()) {
+    throw BadAnnouncement("services must name at least one service");
+  }
+  for (const json& service : services) {
+    if (!service.is_string()) {
+      throw BadAnnouncement("services must be texts");
+    }
+    made.mServices.push_back(service.get<std::string>());
+  }
+  constexpr uint32_t kAny = 1u << 30;
+  made.mSlots = ReadCount(object, "slots", kMaxSlots);
+  made.mCpus = ReadCount(object, "cpus", kAny);
+  made.mMemoryMb = ReadCount(object, "memory_mb", kAny);
+  made.mAccelerators = ReadCount(object, "accelerators", kAny);
+  return made;
+}
+
+http_answer
+ErrorAnswer(const failure& aError)
+{
+  http_answer answer;
+  answer.mStatus = HttpStatus(aError.Code());
+  answer.mBody = RenderError(aError);
+  answer.mRetryAfterMs = aError.RetryAfter().count();
+  return answer;
+}
+
+} // namespace
+
+guard_daemon::guard_daemon(const guard_settings& aSettings)
+  : mSettings(aSettings)
+  , mLog(aSettings.mProcess.mName, severity::Info)
+  , mTable(aSettings.mProcess.mTableUrl,
+           aSettings.mProcess.mTableTimeoutMs,
+           [this](const table_reply& aReply) {
+             mNode->OnTableReply(aReply, Now());
+             TickSoon();
+           })
+  , mBackend([this](const task_end& aEnd) {
+    mNode->OnTaskEnded(aEnd, Now());
+    TickSoon();
+  })
+{
+}
+
+result<std::unique_ptr<guard_daemon>>
+guard_daemon::Create(const guard_settings& aSettings)
+{
+  std::unique_ptr<guard_daemon> made(new guard_daemon(aSettings));
+  try {
+    made->Open();
+  } catch (const failure& error) {
+    return error;
+  }
+  return made;
+}
+
+void
+guard_daemon::Open()
+{
+  const process_settings& process = mSettings.mProcess;
+  transport_options transport;
+  transport.mListen = process.mListen;
+  transport.mSharedKey = process.mSharedKey;
+  transport.mMaxFrame = process.mMaxFrameBytes;
+  transport.mMaxSend = process.mMaxSendBytes;
+  transport.mSelf.mRole = process_role::Guard;
+  transport.mSelf.mName = process.mName;
+  transport.mSelf.mIncarnation = MakeIncarnation();
+  transport.mSelf.mAddress = process.mListen;
+  transport.mSelf.mDataCenter = process.mDataCenter;
+  transport.mSelf.mRegion = process.mRegion;
+  transport.mSelf.mShard = mSettings.mShard;
+  mTransport =
+    std::move(peer_transport::Create(transport, *this, mLog).Value());
+  mHttp = std::move(http_server::Create(
+                      process.mHttp,
+                      kMaxAnnouncement,
+                      [this](http_exchange& aOne) { OnRequest(aOne); },
+                      [](uint64_t) {})
+                      .Value());
+  guard_options options;
+  options.mName = process.mName;
+  options.mShard = mSettings.mShard;
+  options.mSeedEntries = process.mSeedEntries;
+  options.mRetention = std::chrono::milliseconds(mSettings.mRetentionMs);
+  options.mMaxRecords = mSettings.mMaxRecords;
+  options.mMaxResultBytes = mSettings.mMaxResultBytes;
+  mNode =
+    std::make_unique<guard_node>(options, *mTransport, mTable, mBackend, mLog);
+  mLog.Emit(event_code::ProcessStarted,
+            { { "role", "guard" },
+              { "http", process.mHttp },
+              { "listen", process.mListen } });
+}
+
+void
+guard_daemon::OnPeerUp(peer_id aPeer, const peer_identity& aIdentity)
+{
+  if (aIdentity.mRole != process_role::Entry) {
+    mTransport->Close(aPeer);
+    return;
+  }
+  mNode->OnPeerUp(aPeer, aIdentity, Now());
+  TickSoon();
+}
+
+void
+guard_daemon::OnPeerDown(peer_id aPeer)
+{
+  mNode->OnPeerDown(aPeer, Now());
+  TickSoon();
+}
+
+void
+guard_daemon::OnPeerMessage(peer_id aPeer, const message& aMessage)
+{
+  mNode->OnMessage(aPeer, aMessage, Now());
+  TickSoon();
+}
+
+void
+guard_daemon::OnTick()
+{
+  mNode->Tick(Now());
+  mTransport->Flush();
+  mTransport->Sweep();
+}
+
+void
+guard_daemon::OnDrain()
+{
+  mNode->BeginDrain(Now());
+}
+
+bool
+guard_daemon::IsDrained()
+{
+  return mNode->Drained() && !mTransport->OutputPending();
+}
+
+void
+guard_daemon::OnAbort()
+{
+  mLog.Emit(event_code::DrainDeadline,
+            { { "running", std::to_string(mNode->Running()) } });
+}
+
+void
+guard_daemon::OnAnnounce(http_exchange& aExchange)
+{
+  backend_announcement announced = ParseAnnouncement(aExchange.Body());
+  mBackend.SetUrl(announced.mUrl);
+  mNode->Announce(announced, Now());
+  mHttp->Answer(aExchange.Id(), { 200, "{\"announced\":true}" });
+}
+
+void
+guard_daemon::OnRequest(http_exchange& aExchange)
+{
+  const std::string& path = aExchange.Path();
+  bool post = aExchange.Method() == "POST";
+  try {
+    if (post && path == "/v1/announce") {
+      OnAnnounce(aExchange);
+    } else if (post && path == "/v1/withdraw") {
+      mNode->Withdraw(Now());
+      json state = { { "running", mNode->Running() } };
+      mHttp->Answer(aExchange.Id(), { 200, state.dump() });
+    } else if (post && path == "/v1/drain") {
+      mHttp->Answer(aExchange.Id(), { 202, "{\"draining\":true}" });
+      BeginDrain();
+    } else if (path == "/v1/status") {
+      mHttp->Answer(aExchange.Id(), Status());
+    } else if (path == "/metrics") {
+      mHttp->Answer(aExchange.Id(), Metrics());
+    } else {
+      throw failure(error_code::NotFound, "find path", "caller", path);
+    }
+  } catch (const failure& error) {
+    mHttp->Answer(aExchange.Id(), ErrorAnswer(error));
+  } catch (const json::exception& error) {
+    mHttp->Answer(aExchange.Id(), ErrorAnswer(BadAnnouncement(error.what())));
+  }
+  TickSoon();
+}
+
+http_answer
+guard_daemon::Status() const
+{
+  json status = { { "name", mSettings.mProcess.mName },
+                  { "config_version", mNode->ConfigVersion() },
+                  { "leased", mNode->Leased(Now()) },
+                  { "epoch", mNode->Epoch() },
+                  { "announced", mNode->Announced() },
+                  { "slots", mNode->Backend().mSlots },
+                  { "running", mNode->Running() },
+                  { "started", mNode->Counters().mStarted },
+                  { "records", mNode->Records() },
+                  { "draining", mNode->Draining() } };
+  return { 200, status.dump() };
+}
+
+http_answer
+guard_daemon::Metrics() const
+{
+  metrics_page page;
+  const guard_counters& counts = mNode->Counters();
+  const transport_counters& links = mTransport->Counters();
+  page.Counter("cactusmast_guard_tasks_started_total",
+               "Tasks started on the backend server.",
+               double(counts.mStarted));
+  page.Counter("cactusmast_guard_tasks_refused_total",
+               "Dispatches refused, not run.",
+               double(counts.mRefused));
+  page.Counter("cactusmast_guard_tasks_succeeded_total",
+               "Tasks that succeeded.",
+               double(counts.mSucceeded));
+  page.Counter("cactusmast_guard_tasks_failed_total",
+               "Tasks that failed.",
+               double(counts.mFailed));
+  page.Counter("cactusmast_guard_tombstones_total",
+               "Tasks revoked before they arrived.",
+               double(counts.mTombstones));
+  page.Gauge(
+    "cactusmast_guard_running_tasks", "Tasks running now.", mNode->Running());
+  page.Gauge(
+    "cactusmast_guard_records", "Tasks remembered.", double(mNode->Records()));
+  page.Gauge("cactusmast_guard_result_bytes",
+             "Bytes of results held.",
+             double(mNode->ResultBytes()));
+  page.Gauge("cactusmast_config_version",
+             "Configuration version in force.",
+             double(mNode->ConfigVersion()));
+  page.Counter("cactusmast_peer_bytes_received_total",
+               "Bytes from entries.",
+               double(links.mBytesIn));
+  page.Counter("cactusmast_peer_bytes_sent_total",
+               "Bytes to entries.",
+               double(links.mBytesOut));
+  page.Counter("cactusmast_peer_messages_received_total",
+               "Messages from entries.",
+               double(links.mMessagesIn));
+  page.Counter("cactusmast_peer_messages_sent_total",
+               "Messages to entries.",
+               double(links.mMessagesOut));
+  page.Counter("cactusmast_peer_protocol_errors_total",
+               "Malformed or oversized frames.",
+               double(links.mProtocolErrors));
+  page.Counter("cactusmast_peer_refused_total",
+               "Peers that could not prove the shared key.",
+               double(links.mRefusedPeers));
+  page.Counter("cactusmast_table_reads_total",
+               "Reads of the platform's table.",
+               double(mTable.Counters().mReads));
+  page.Counter("cactusmast_table_writes_total",
+               "Writes to the platform's table.",
+               double(mTable.Counters().mWrites));
+  AddProcessMetrics(&page);
+  return { 200, page.Render(), "text/plain; version=0.0.4" };
+}
+
+} // namespace cactusmast
--- /dev/null
+++ b/shell/http_client.cc
@@ -0,0 +1,163 @@
+#include "shell/http_client.h"
+
+#include <memory>
+
+namespace cactusmast {
+namespace {
+
+// Idle connections are closed on this side first: a request that is sent into
+// one that the server has just closed fails without anybody knowing whether
+// it was run.
+constexpr guint kIdleSeconds = 4;
+
+struct pending_request
+{
+  http_client::callback mCallback;
+  gobject_ptr<SoupMessage> mMessage;
+  gobject_ptr<GCancellable> mCancellable;
+  guint mTimer = 0;
+};
+
+http_response
+ReadResponse(SoupMessage* aMessage, GBytes* aBody, const GError* aError)
+{
+  http_response response;
+  if (aError != nullptr) {
+    bool refused =
+      g_error_matches(aError, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED) ||
+      g_error_matches(aError, G_IO_ERROR, G_IO_ERROR_HOST_UNREACHABLE);
+    bool cancelled = g_error_matches(aError, G_IO_ERROR, G_IO_ERROR_CANCELLED);
+    response.mFault = refused     ? http_fault::Refused
+                      : cancelled ? http_fault::Cancelled
+                                  : http_fault::Broken;
+    response.mText = aError->message;
+    return response;
+  }
+  response.mStatus = int(soup_message_get_status(aMessage));
+  gsize size = 0;
+  const auto* data = static_cast<const char*>(g_bytes_get_data(aBody, &size));
+  response.mBody.assign(data == nullptr ? "" : data, size);
+  const char* run = soup_message_headers_get_one(
+    soup_message_get_response_headers(aMessage), "X-Run");
+  response.mRunHeader = run == nullptr ? "" : run;
+  return response;
+}
+
+gboolean
+OnTimeout(gpointer aData)
+{
+  auto* pending = static_cast<pending_request*>(aData);
+  pending->mTimer = 0;
+  g_cancellable_cancel(pending->mCancellable.get());
+  return G_SOURCE_REMOVE;
+}
+
+void
+OnDone(GObject* aSession, GAsyncResult* aResult, gpointer aData)
+{
+  std::unique_ptr<pending_request> pending(
+    static_cast<pending_request*>(aData));
+  if (pending->mTimer != 0) {
+    g_source_remove(pending->mTimer);
+  }
+  GError* error = nullptr;
+  GBytes* body =
+    soup_session_send_and_read_finish(SOUP_SESSION(aSession), aResult, &error);
+  gerror_ptr held(error);
+  http_response response = ReadResponse(pending->mMessage.get(), body, error);
+  if (body != nullptr) {
+    g_bytes_unref(body);
+  }
+  pending->mCallback(response);
+}
+
+gobject_ptr<SoupMessage>
+MakeSoupMessage(const http_request& aRequest)
+{
+  gobject_ptr<SoupMessage> made(
+    soup_message_new(aRequest.mMethod.c_str(), aRequest.mUrl.c_str()));
+  if (made == nullptr) {
+    return made;
+  }
+  SoupMessageHeaders* headers = soup_message_get_request_headers(made.get());
+  for (const auto& [name, value] : aRequest.mHeaders) {
+    soup_message_headers_replace(headers, name.c_str(), value.c_str());
+  }
+  if (!aRequest.mBody.empty()) {
+    GBytes* body = g_bytes_new(aRequest.mBody.data(), aRequest.mBody.size());
+    soup_message_set_request_body_from_bytes(
+      made.get(), "application/json", body);
+    g_bytes_unref(body);
+  }
+  // A redirect would send the request to a server that nobody chose.
+  soup_message_add_flags(made.get(), SOUP_MESSAGE_NO_REDIRECT);
+  return made;
+}
+
+} // namespace
+
+http_client::http_client(uint32_t aConnections, uint32_t aTimeoutMs)
+  : mSession(SOUP_SESSION(g_object_new(SOUP_TYPE_SESSION,
+                                       "max-conns",
+                                       int(aConnections),
+                                       "max-conns-per-host",
+                                       int(aConnections),
+                                       "idle-timeout",
+                                       kIdleSeconds,
+                                       nullptr)))
+  , mTimeoutMs(aTimeoutMs)
+{
+}
+
+http_client::~http_client()
+{
+  soup_session_abort(mSession.get());
+}
+
+gobject_ptr<GCancellable>
+http_client::Send(const http_request& aRequest, callback aCallback)
+{
+  auto pending = std::make_unique<pending_request>();
+  pending->mCallback = std::move(aCallback);
+  pending->mMessage = MakeSoupMessage(aRequest);
+  pending->mCancellable.reset(g_cancellable_new());
+  gobject_ptr<GCancellable> handle(
+    G_CANCELLABLE(g_object_ref(pending->mCancellable.get())));
+  if (mTimeoutMs > 0) {
+    pending->mTimer = g_timeout_add(mTimeoutMs, &OnTimeout, pending.get());
+  }
+  SoupMessage* sent = pending->mMessage.get();
+  GCancellable* cancellable = pending->mCancellable.get();
+  soup_session_send_and_read_async(mSession.get(),
+                                   sent,
+                                   G_PRIORITY_DEFAULT,
+                                   cancellable,
+                                   &OnDone,
+                                   pending.release());
+  return handle;
+}
+
+http_response
+SendAndWait(const http_request& aRequest, uint32_t aTimeoutMs)
+{
+  gobject_ptr<SoupSession> session(SOUP_SESSION(g_object_new(
+    SOUP_TYPE_SESSION, "timeout", guint((aTimeoutMs + 999) / 1000), nullptr)));
+  gobject_ptr<SoupMessage> sent = MakeSoupMessage(aRequest);
+  if (sent == nullptr) {
+    http_response response;
+    response.mFault = http_fault::Refused;
+    response.mText = "not a URL: " + aRequest.mUrl;
+    return response;
+  }
+  GError* error = nullptr;
+  GBytes* body =
+    soup_session_send_and_read(session.get(), sent.get(), nullptr, &error);
+  gerror_ptr held(error);
+  http_response response = ReadResponse(sent.get(), body, error);
+  if (body != nullptr) {
+    g_bytes_unref(body);
+  }
+  return response;
+}
+
+} // namespace cactusmast
--- /dev/null
+++ b/shell/http_server.cc
@@ -0,0 +1,241 @@
+#include "shell/http_server.h"
+
+#include "shell/peer_transport.h"
+
+namespace cactusmast {
+namespace {
+
+// Refuses a body whose announced or received size is over the budget while
+// it arrives, instead of collecting it.
+struct body_watch
+{
+  size_t mMax;
+  size_t mSeen = 0;
+};
+
+void
+OnBodyChunk(SoupServerMessage* aMessage, GBytes* aChunk, gpointer aData)
+{
+  auto* watch = static_cast<body_watch*>(aData);
+  watch->mSeen += g_bytes_get_size(aChunk);
+  if (watch->mSeen > watch->mMax) {
+    soup_server_message_set_status(
+      aMessage, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, nullptr);
+    GIOStream* stream = soup_server_message_steal_connection(aMessage);
+    if (stream != nullptr) {
+      g_io_stream_close(stream, nullptr, nullptr);
+      g_object_unref(stream);
+    }
+  }
+}
+
+void
+FreeWatch(gpointer aData, GClosure* /*aClosure*/)
+{
+  delete static_cast<body_watch*>(aData);
+}
+
+} // namespace
+
+std::string
+http_exchange::Header(const char* aName) const
+{
+  const char* value = soup_message_headers_get_one(
+    soup_server_message_get_request_headers(mMessage.get()), aName);
+  return value == nullptr ? "" : value;
+}
+
+std::string
+http_exchange::Query(const char* aName) const
+{
+  auto found = mQuery.find(aName);
+  return found == mQuery.end() ? "" : found->second;
+}
+
+uint32_t
+http_exchange::QueryNumber(const char* aName,
+                           uint32_t aDefault,
+                           uint32_t aMax) const
+{
+  std::string text = Query(aName);
+  if (text.empty()) {
+    return aDefault;
+  }
+  guint64 value = 0;
+  bool good =
+    g_ascii_string_to_unsigned(text.c_str(), 10, 0, aMax, &value, nullptr);
+  return good ? uint32_t(value) : aMax;
+}
+
+http_server::http_server(size_t aMaxBody, handler aHandler, gone_handler aGone)
+  : mServer(soup_server_new("server-header", "cactusmast", nullptr))
+  , mMaxBody(aMaxBody)
+  , mHandler(std::move(aHandler))
+  , mGone(std::move(aGone))
+{
+}
+
+http_server::~http_server()
+{
+  for (auto& [id, exchange] : mOpen) {
+    g_signal_handler_disconnect(exchange->mMessage.get(),
+                                exchange->mFinishedHandler);
+  }
+  soup_server_disconnect(mServer.get());
+}
+
+result<std::unique_ptr<http_server>>
+http_server::Create(const std::string& aListen,
+                    size_t aMaxBody,
+                    handler aHandler,
+                    gone_handler aGone)
+{
+  std::unique_ptr<http_server> made(
+    new http_server(aMaxBody, std::move(aHandler), std::move(aGone)));
+  gobject_ptr<GSocketAddress> address = ParseAddress(aListen);
+  GError* error = nullptr;
+  bool up = address != nullptr && soup_server_listen(made->mServer.get(),
+                                                     address.get(),
+                                                     SoupServerListenOptions(0),
+                                                     &error);
+  gerror_ptr held(error);
+  if (!up) {
+    return failure(error_code::Unavailable,
+                   "listen",
+                   aListen,
+                   error == nullptr ? "bad address" : error->message);
+  }
+  soup_server_add_early_handler(
+    made->mServer.get(), nullptr, &http_server::OnEarly, made.get(), nullptr);
+  soup_server_add_handler(
+    made->mServer.get(), nullptr, &http_server::OnRequest, made.get(), nullptr);
+  return made;
+}
+
+void
+http_server::OnEarly(SoupServer* /*aServer*/,
+                     SoupServerMessage* aMessage,
+                     const char* /*aPath*/,
+                     GHashTable* /*aQuery*/,
+                     gpointer aData)
+{
+  auto* self = static_cast<http_server*>(aData);
+  goffset announced = soup_message_headers_get_content_length(
+    soup_server_message_get_request_headers(aMessage));
+  if (announced > goffset(self->mMaxBody)) {
+    failure error(error_code::TooLarge,
+                  "read request",
+                  "caller",
+                  "a body may have at most " + std::to_string(self->mMaxBody) +
+                    " bytes");
+    soup_server_message_set_status(
+      aMessage, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, nullptr);
+    soup_message_headers_replace(
+      soup_server_message_get_response_headers(aMessage),
+      "Connection",
+      "close");
+    return;
+  }
+  g_signal_connect_data(aMessage,
+                        "got-chunk",
+                        G_CALLBACK(&OnBodyChunk),
+                        new body_watch{ self->mMaxBody },
+                        &FreeWatch,
+                        GConnectFlags(0));
+}
+
+void
+http_server::OnRequest(SoupServer* /*aServer*/,
+                       SoupServerMessage* aMessage,
+                       const char* aPath,
+                       GHashTable* aQuery,
+                       gpointer aData)
+{
+  auto* self = static_cast<http_server*>(aData);
+  self->mServed++;
+  auto made = std::make_unique<http_exchange>();
+  http_exchange& exchange = *made;
+  exchange.mId = self->mNextId++;
+  exchange.mMethod = soup_server_message_get_method(aMessage);
+  exchange.mPath = aPath;
+  exchange.mMessage.reset(SOUP_SERVER_MESSAGE(g_object_ref(aMessage)));
+  SoupMessageBody* body = soup_server_message_get_request_body(aMessage);
+  GBytes* bytes = soup_message_body_flatten(body);
+  gsize size = 0;
+  const auto* data = static_cast<const char*>(g_bytes_get_data(bytes, &size));
+  if (size > 0) {
+    exchange.mBody.assign(data, size);
+  }
+  g_bytes_unref(bytes);
+  if (aQuery != nullptr) {
+    GHashTableIter iter;
+    gpointer key = nullptr;
+    gpointer value = nullptr;
+    g_hash_table_iter_init(&iter, aQuery);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+      exchange.mQuery[static_cast<const char*>(key)] =
+        static_cast<const char*>(value);
+    }
+  }
+  exchange.mFinishedHandler = g_signal_connect(
+    aMessage, "finished", G_CALLBACK(&http_server::OnFinished), self);
+  uint64_t id = exchange.mId;
+  self->mByMessage[aMessage] = id;
+  self->mOpen[id] = std::move(made);
+  self->mHandler(exchange);
+  auto still = self->mOpen.find(id);
+  if (still != self->mOpen.end()) {
+    still->second->mPaused = true;
+    soup_server_message_pause(aMessage);
+  }
+}
+
+void
+http_server::OnFinished(SoupServerMessage* aMessage, gpointer aData)
+{
+  auto* self = static_cast<http_server*>(aData);
+  auto found = self->mByMessage.find(aMessage);
+  if (found == self->mByMessage.end()) {
+    return;
+  }
+  uint64_t id = found->second;
+  self->mByMessage.erase(found);
+  auto open = self->mOpen.find(id);
+  if (open != self->mOpen.end()) {
+    std::unique_ptr<http_exchange> ended = std::move(open->second);
+    self->mOpen.erase(open);
+    self->mGone(id);
+  }
+}
+
+void
+http_server::Answer(uint64_t aExchange, const http_answer& aAnswer)
+{
+  auto found = mOpen.find(aExchange);
+  if (found == mOpen.end()) {
+    return;
+  }
+  std::unique_ptr<http_exchange> exchange = std::move(found->second);
+  mOpen.erase(found);
+  SoupServerMessage* reply = exchange->mMessage.get();
+  mByMessage.erase(reply);
+  g_signal_handler_disconnect(reply, exchange->mFinishedHandler);
+  soup_server_message_set_status(reply, guint(aAnswer.mStatus), nullptr);
+  soup_server_message_set_response(reply,
+                                   aAnswer.mType.c_str(),
+                                   SOUP_MEMORY_COPY,
+                                   aAnswer.mBody.data(),
+                                   aAnswer.mBody.size());
+  if (aAnswer.mRetryAfterMs > 0) {
+    int64_t seconds = (aAnswer.mRetryAfterMs + 999) / 1000;
+    soup_message_headers_replace(
+      soup_server_message_get_response_headers(reply),
+      "Retry-After",
+      std::to_string(seconds).c_str());
+  }
+  if (exchange->mPaused) {
+    soup_server_message_unpause(reply);
+  }
+}
+
+} // namespace cactusmast
--- /dev/null
+++ b/shell/http_server.h
@@ -0,0 +1,101 @@
+// HTTP through libsoup's server. A handler gets a request and answers it at
+// once or later, exactly once; when the client goes away first, the answer is
+// dropped and the handler is told.
+
+#ifndef SHELL_HTTP_SERVER_H_
+#define SHELL_HTTP_SERVER_H_
+
+#include <functional>
+#include <libsoup/soup.h>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "util/gobject_ptr.h"
+#include "util/result.h"
+
+namespace cactusmast {
+
+struct http_answer
+{
+  int mStatus = 200;
+  std::string mBody;
+  std::string mType = "application/json";
+  int64_t mRetryAfterMs = 0;
+};
+
+class http_exchange
+{
+public:
+  uint64_t Id() const { return mId; }
+  const std::string& Method() const { return mMethod; }
+  const std::string& Path() const { return mPath; }
+  const std::string& Body() const { return mBody; }
+  // Empty when absent.
+  std::string Header(const char* aName) const;
+  std::string Query(const char* aName) const;
+  // A whole number from the query, or aDefault; values that are no number or
+  // over aMax count as aMax.
+  uint32_t QueryNumber(const char* aName,
+                       uint32_t aDefault,
+                       uint32_t aMax) const;
+
+private:
+  friend class http_server;
+  uint64_t mId = 0;
+  std::string mMethod;
+  std::string mPath;
+  std::string mBody;
+  std::map<std::string, std::string> mQuery;
+  gobject_ptr<SoupServerMessage> mMessage;
+  gulong mFinishedHandler = 0;
+  bool mPaused = false;
+};
+
+class http_server
+{
+public:
+  // Receives every request. May call Answer before it returns.
+  using handler = std::function<void(http_exchange&)>;
+  // The client went away before its answer.
+  using gone_handler = std::function<void(uint64_t)>;
+
+  static result<std::unique_ptr<http_server>> Create(const std::string& aListen,
+                                                     size_t aMaxBody,
+                                                     handler aHandler,
+                                                     gone_handler aGone);
+  ~http_server();
+
+  // Ignored when the exchange is over.
+  void Answer(uint64_t aExchange, const http_answer& aAnswer);
+
+  size_t Open() const { return mOpen.size(); }
+  uint64_t Served() const { return mServed; }
+
+private:
+  http_server(size_t aMaxBody, handler aHandler, gone_handler aGone);
+  static void OnRequest(SoupServer* aServer,
+                        SoupServerMessage* aMessage,
+                        const char* aPath,
+                        GHashTable* aQuery,
+                        gpointer aData);
+  static void OnEarly(SoupServer* aServer,
+                      SoupServerMessage* aMessage,
+                      const char* aPath,
+                      GHashTable* aQuery,
+                      gpointer aData);
+  static void OnFinished(SoupServerMessage* aMessage, gpointer aData);
+
+  gobject_ptr<SoupServer> mServer;
+  size_t mMaxBody;
+  handler mHandler;
+  gone_handler mGone;
+  std::map<uint64_t, std::unique_ptr<http_exchange>> mOpen;
+  std::map<SoupServerMessage*, uint64_t> mByMessage;
+  uint64_t mNextId = 1;
+  uint64_t mServed = 0;
+};
+
+} // namespace cactusmast
+
+#endif // SHELL_HTTP_SERVER_H_
--- /dev/null
+++ b/shell/metrics_page.h
@@ -0,0 +1,39 @@
+// Metrics in the Prometheus text format, by prometheus-cpp's serializer. The
+// values are read from the node's own counters when the page is asked for, so
+// nothing is counted twice and no second thread or server is needed.
+
+#ifndef SHELL_METRICS_PAGE_H_
+#define SHELL_METRICS_PAGE_H_
+
+#include <string>
+#include <vector>
+
+#include <prometheus/metric_family.h>
+
+namespace cactusmast {
+
+class metrics_page
+{
+public:
+  void Counter(const std::string& aName,
+               const std::string& aHelp,
+               double aValue);
+  void Gauge(const std::string& aName, const std::string& aHelp, double aValue);
+  std::string Render() const;
+
+private:
+  void Add(const std::string& aName,
+           const std::string& aHelp,
+           prometheus::MetricType aType,
+           double aValue);
+
+  std::vector<prometheus::MetricFamily> mFamilies;
+};
+
+// Resident memory and processor time of this process.
+void
+AddProcessMetrics(metrics_page* aPage);
+
+} // namespace cactusmast
+
+#endif // SHELL_METRICS_PAGE_H_
--- /dev/null
+++ b/shell/peer_transport.cc
@@ -0,0 +1,521 @@
+#include "shell/peer_transport.h"
+
+#include <glib-unix.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include "util/constant_time.h"
+
+namespace cactusmast {
+namespace {
+
+constexpr gint64 kHandshakeLimitUs = 3 * G_USEC_PER_SEC;
+constexpr size_t kReadChunk = 256u << 10;
+constexpr size_t kMaxGreetingFrame = 4096;
+constexpr int kMaxReadsPerTurn = 8;
+
+std::string
+MakeNonce()
+{
+  std::string nonce;
+  for (int i = 0; i < 4; i++) {
+    nonce += std::to_string(g_random_int());
+    nonce += '-';
+  }
+  return nonce;
+}
+
+void
+DropSource(GSource** aSource)
+{
+  if (*aSource != nullptr) {
+    g_source_destroy(*aSource);
+    g_source_unref(*aSource);
+    *aSource = nullptr;
+  }
+}
+
+} // namespace
+
+gobject_ptr<GSocketAddress>
+ParseAddress(const std::string& aText)
+{
+  size_t colon = aText.rfind(':');
+  if (colon == std::string::npos) {
+    return nullptr;
+  }
+  std::string host = aText.substr(0, colon);
+  auto port = guint(std::strtoul(aText.c_str() + colon + 1, nullptr, 10));
+  return gobject_ptr<GSocketAddress>(
+    g_inet_socket_address_new_from_string(host.c_str(), port));
+}
+
+peer_transport::peer_transport(transport_options aOptions,
+                               transport_listener& aListener,
+                               event_sink& aEvents)
+  : mOptions(std::move(aOptions))
+  , mListener(aListener)
+  , mEvents(aEvents)
+{
+}
+
+peer_transport::~peer_transport()
+{
+  DropSource(&mAcceptSource);
+  for (auto& [id, link] : mLinks) {
+    DropSource(&link->mInSource);
+    DropSource(&link->mOutSource);
+  }
+}
+
+result<std::unique_ptr<peer_transport>>
+peer_transport::Create(transport_options aOptions,
+                       transport_listener& aListener,
+                       event_sink& aEvents)
+{
+  std::unique_ptr<peer_transport> made(
+    new peer_transport(std::move(aOptions), aListener, aEvents));
+  try {
+    made->Listen();
+  } catch (const failure& error) {
+    return error;
+  }
+  return made;
+}
+
+void
+peer_transport::Listen()
+{
+  auto fail = [this](const GError* aError) {
+    throw failure(error_code::Unavailable,
+                  "listen",
+                  mOptions.mListen,
+                  aError != nullptr ? aError->message : "bad address");
+  };
+  gobject_ptr<GSocketAddress> address = ParseAddress(mOptions.mListen);
+  if (address == nullptr) {
+    fail(nullptr);
+  }
+  GError* error = nullptr;
+  mServer.reset(g_socket_new(g_socket_address_get_family(address.get()),
+                             G_SOCKET_TYPE_STREAM,
+                             G_SOCKET_PROTOCOL_TCP,
+                             &error));
+  gerror_ptr held(error);
+  if (mServer == nullptr) {
+    fail(error);
+  }
+  g_socket_set_blocking(mServer.get(), FALSE);
+  g_socket_set_listen_backlog(mServer.get(), 1024);
+  error = nullptr;
+  bool up = g_socket_bind(mServer.get(), address.get(), TRUE, &error) &&
+            g_socket_listen(mServer.get(), &error);
+  held.reset(error);
+  if (!up) {
+    fail(error);
+  }
+  mAcceptSource = g_socket_create_source(mServer.get(), G_IO_IN, nullptr);
+  g_source_set_callback(mAcceptSource,
+                        G_SOURCE_FUNC(&peer_transport::OnAcceptReady),
+                        this,
+                        nullptr);
+  g_source_attach(mAcceptSource, nullptr);
+}
+
+peer_transport::link&
+peer_transport::AddLink(gobject_ptr<GSocket> aSocket, link_state aState)
+{
+  g_socket_set_blocking(aSocket.get(), FALSE);
+  g_socket_set_option(aSocket.get(), IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
+  auto made = std::make_unique<link>(mOptions.mMaxFrame);
+  made->mOwner = this;
+  made->mId = mNextId++;
+  made->mState = aState;
+  made->mSocket = std::move(aSocket);
+  made->mNonce = MakeNonce();
+  made->mSince = g_get_monotonic_time();
+  link& added = *made;
+  mLinks[added.mId] = std::move(made);
+  return added;
+}
+
+gboolean
+peer_transport::OnAcceptReady(GSocket* aSocket,
+                              GIOCondition /*aCondition*/,
+                              gpointer aData)
+{
+  auto* self = static_cast<peer_transport*>(aData);
+  for (;;) {
+    gobject_ptr<GSocket> accepted(g_socket_accept(aSocket, nullptr, nullptr));
+    if (accepted == nullptr) {
+      return G_SOURCE_CONTINUE;
+    }
+    link& added = self->AddLink(std::move(accepted), link_state::Greeting);
+    self->Greet(added);
+  }
+}
+
+void
+peer_transport::Connect(const std::string& aAddress)
+{
+  for (const auto& [id, link] : mLinks) {
+    if (link->mAddress == aAddress && link->mState != link_state::Closed) {
+      return;
+    }
+  }
+  gobject_ptr<GSocketAddress> address = ParseAddress(aAddress);
+  if (address == nullptr) {
+    return;
+  }
+  gobject_ptr<GSocket> socket(
+    g_socket_new(g_socket_address_get_family(address.get()),
+                 G_SOCKET_TYPE_STREAM,
+                 G_SOCKET_PROTOCOL_TCP,
+                 nullptr));
+  if (socket == nullptr) {
+    return;
+  }
+  link& added = AddLink(std::move(socket), link_state::Connecting);
+  added.mAddress = aAddress;
+  GError* error = nullptr;
+  bool done =
+    g_socket_connect(added.mSocket.get(), address.get(), nullptr, &error);
+  gerror_ptr held(error);
+  if (done) {
+    Greet(added);
+  } else if (g_error_matches(error, G_IO_ERROR, G_IO_ERROR_PENDING)) {
+    WatchOutput(added);
+  } else {
+    Shut(added, false);
+  }
+}
+
+void
+peer_transport::Greet(link& aLink)
+{
+  aLink.mState = link_state::Greeting;
+  aLink.mInSource =
+    g_socket_create_source(aLink.mSocket.get(), G_IO_IN, nullptr);
+  g_source_set_callback(aLink.mInSource,
+                        G_SOURCE_FUNC(&peer_transport::OnInReady),
+                        &aLink,
+                        nullptr);
+  g_source_attach(aLink.mInSource, nullptr);
+  wire::hello_msg hello;
+  hello.protocol = kProtocolVersion;
+  hello.nonce = aLink.mNonce;
+  EncodeFrame(MakeMessage(std::move(hello)), &aLink.mOut);
+  FlushLink(aLink);
+}
+
+std::string
+peer_transport::Proof(const std::string& aTheirNonce,
+                      const std::string& aOwnNonce,
+                      const wire::hello_msg& aHello) const
+{
+  std::string text = aTheirNonce + '|' + aOwnNonce + '|' +
+                     std::to_string(aHello.role) + '|' + aHello.name + '|' +
+                     std::to_string(aHello.incarnation) + '|' + aHello.address +
+                     '|' + std::to_string(aHello.shard);
+  gchar* digest = g_compute_hmac_for_string(
+    G_CHECKSUM_SHA256,
+    reinterpret_cast<const guchar*>(mOptions.mSharedKey.data()),
+    mOptions.mSharedKey.size(),
+    text.data(),
+    gssize(text.size()));
+  std::string made = digest;
+  g_free(digest);
+  return made;
+}
+
+void
+peer_transport::OnHello(link& aLink, const wire::hello_msg& aHello)
+{
+  if (aHello.protocol != kProtocolVersion) {
+    FailProtocol(aLink, "protocol version " + std::to_string(aHello.protocol));
+    return;
+  }
+  if (aLink.mPeerNonce.empty()) {
+    if (aHello.nonce.empty()) {
+      FailProtocol(aLink, "hello without a nonce");
+      return;
+    }
+    aLink.mPeerNonce = aHello.nonce;
+    const peer_identity& self = mOptions.mSelf;
+    wire::hello_msg answer;
+    answer.protocol = kProtocolVersion;
+    answer.role = uint8_t(self.mRole);
+    answer.name = self.mName;
+    answer.incarnation = self.mIncarnation;
+    answer.address = self.mAddress;
+    answer.data_center = self.mDataCenter;
+    answer.region = self.mRegion;
+    answer.shard = self.mShard;
+    answer.nonce = aLink.mNonce;
+    answer.proof = Proof(aLink.mPeerNonce, aLink.mNonce, answer);
+    EncodeFrame(MakeMessage(std::move(answer)), &aLink.mOut);
+    FlushLink(aLink);
+    return;
+  }
+  std::string expected = Proof(aLink.mNonce, aLink.mPeerNonce, aHello);
+  bool own = aHello.name == mOptions.mSelf.mName &&
+             aHello.role == uint8_t(mOptions.mSelf.mRole);
+  bool proven = EqualConstantTime(aHello.proof, expected) && !own &&
+                aHello.role < uint8_t(process_role::Count);
+  if (!proven) {
+    mCounters.mRefusedPeers++;
+    mEvents.Emit(event_code::PeerRefused,
+                 { { "peer", aHello.name }, { "step", "prove identity" } });
+    Shut(aLink, false);
+    return;
+  }
+  aLink.mIdentity.mRole = process_role(aHello.role);
+  aLink.mIdentity.mName = aHello.name;
+  aLink.mIdentity.mIncarnation = aHello.incarnation;
+  aLink.mIdentity.mAddress = aHello.address;
+  aLink.mIdentity.mDataCenter = aHello.data_center;
+  aLink.mIdentity.mRegion = aHello.region;
+  aLink.mIdentity.mShard = aHello.shard;
+  aLink.mLabel = aHello.name;
+  aLink.mState = link_state::Ready;
+  mListener.OnPeerUp(aLink.mId, aLink.mIdentity);
+}
+
+void
+peer_transport::FailProtocol(link& aLink, const std::string& aText)
+{
+  mCounters.mProtocolErrors++;
+  mEvents.Emit(event_code::PeerProtocolError,
+               { { "peer", aLink.mLabel }, { "text", aText } });
+  Shut(aLink, true);
+}
+
+void
+peer_transport::OnFrame(link& aLink, const message& aMessage)
+{
+  mCounters.mMessagesIn++;
+  if (aLink.mState == link_state::Ready) {
+    mListener.OnPeerMessage(aLink.mId, aMessage);
+    return;
+  }
+  if (aMessage.type != message_kind::hello) {
+    FailProtocol(aLink, "a message before the hello");
+    return;
+  }
+  OnHello(aLink, *aMessage.Ashello());
+}
+
+void
+peer_transport::ReadFrames(link& aLink)
+{
+  try {
+    std::string_view frame;
+    while (aLink.mState != link_state::Closed && aLink.mReader.Next(&frame)) {
+      if (aLink.mState != link_state::Ready &&
+          frame.size() > kMaxGreetingFrame) {
+        FailProtocol(aLink, "a large frame before the hello");
+        return;
+      }
+      result<message> decoded = DecodeEnvelope(frame, aLink.mLabel);
+      OnFrame(aLink, decoded.Value());
+    }
+  } catch (const failure& error) {
+    FailProtocol(aLink, error.what());
+  }
+}
+
+void
+peer_transport::OnReadable(link& aLink)
+{
+  static char chunk[kReadChunk];
+  for (int i = 0; i < kMaxReadsPerTurn; i++) {
+    GError* error = nullptr;
+    gssize count = g_socket_receive(
+      aLink.mSocket.get(), chunk, sizeof chunk, nullptr, &error);
+    gerror_ptr held(error);
+    if (count < 0 &&
+        g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
+      return;
+    }
+    if (count <= 0) {
+      Shut(aLink, true);
+      return;
+    }
+    mCounters.mBytesIn += uint64_t(count);
+    aLink.mReader.Append(std::string_view(chunk, size_t(count)));
+    ReadFrames(aLink);
+    if (aLink.mState == link_state::Closed || size_t(count) < sizeof chunk) {
+      return;
+    }
+  }
+}
+
+gboolean
+peer_transport::OnInReady(GSocket* /*aSocket*/,
+                          GIOCondition /*aCondition*/,
+                          gpointer aData)
+{
+  auto* ready = static_cast<link*>(aData);
+  if (ready->mState != link_state::Closed) {
+    ready->mOwner->OnReadable(*ready);
+  }
+  return ready->mState == link_state::Closed ? G_SOURCE_REMOVE
+                                             : G_SOURCE_CONTINUE;
+}
+
+void
+peer_transport::WatchOutput(link& aLink)
+{
+  if (aLink.mOutSource != nullptr) {
+    return;
+  }
+  aLink.mOutSource =
+    g_socket_create_source(aLink.mSocket.get(), G_IO_OUT, nullptr);
+  g_source_set_callback(aLink.mOutSource,
+                        G_SOURCE_FUNC(&peer_transport::OnOutReady),
+                        &aLink,
+                        nullptr);
+  g_source_attach(aLink.mOutSource, nullptr);
+}
+
+gboolean
+peer_transport::OnOutReady(GSocket* /*aSocket*/,
+                           GIOCondition /*aCondition*/,
+                           gpointer aData)
+{
+  auto* ready = static_cast<link*>(aData);
+  DropSource(&ready->mOutSource);
+  if (ready->mState != link_state::Closed) {
+    ready->mOwner->OnWritable(*ready);
+  }
+  return G_SOURCE_REMOVE;
+}
+
+void
+peer_transport::OnWritable(link& aLink)
+{
+  if (aLink.mState == link_state::Connecting) {
+    bool up = g_socket_check_connect_result(aLink.mSocket.get(), nullptr);
+    if (!up) {
+      Shut(aLink, false);
+      return;
+    }
+    Greet(aLink);
+    return;
+  }
+  FlushLink(aLink);
+}
+
+void
+peer_transport::FlushLink(link& aLink)
+{
+  while (aLink.mOutDone < aLink.mOut.size()) {
+    GError* error = nullptr;
+    gssize count = g_socket_send(aLink.mSocket.get(),
+                                 aLink.mOut.data() + aLink.mOutDone,
+                                 aLink.mOut.size() - aLink.mOutDone,
+                                 nullptr,
+                                 &error);
+    gerror_ptr held(error);
+    if (count < 0 &&
+        g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
+      WatchOutput(aLink);
+      break;
+    }
+    if (count < 0) {
+      Shut(aLink, true);
+      return;
+    }
+    aLink.mOutDone += size_t(count);
+    mCounters.mBytesOut += uint64_t(count);
+  }
+  if (aLink.mOutDone == aLink.mOut.size()) {
+    aLink.mOut.clear();
+    aLink.mOutDone = 0;
+  }
+}
+
+void
+peer_transport::Send(peer_id aPeer, message aMessage)
+{
+  auto found = mLinks.find(aPeer);
+  if (found == mLinks.end() || found->second->mState != link_state::Ready) {
+    return;
+  }
+  link& target = *found->second;
+  EncodeFrame(aMessage, &target.mOut);
+  mCounters.mMessagesOut++;
+  if (target.mOut.size() - target.mOutDone > mOptions.mMaxSend) {
+    // It stopped reading. What was sent is settled by asking once it is back.
+    mCounters.mSendBudgetSpent++;
+    mEvents.Emit(event_code::BudgetSpent,
+                 { { "budget", "send" }, { "peer", target.mLabel } });
+    Shut(target, true);
+  }
+}
+
+void
+peer_transport::Flush()
+{
+  for (auto& [id, link] : mLinks) {
+    bool writable =
+      link->mState == link_state::Greeting || link->mState == link_state::Ready;
+    if (writable && !link->mOut.empty() && link->mOutSource == nullptr) {
+      FlushLink(*link);
+    }
+  }
+}
+
+bool
+peer_transport::OutputPending() const
+{
+  for (const auto& [id, link] : mLinks) {
+    if (link->mState == link_state::Ready && !link->mOut.empty()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void
+peer_transport::Shut(link& aLink, bool aTell)
+{
+  if (aLink.mState == link_state::Closed) {
+    return;
+  }
+  bool wasReady = aLink.mState == link_state::Ready;
+  aLink.mState = link_state::Closed;
+  DropSource(&aLink.mInSource);
+  DropSource(&aLink.mOutSource);
+  g_socket_close(aLink.mSocket.get(), nullptr);
+  if (aTell && wasReady) {
+    mListener.OnPeerDown(aLink.mId);
+  }
+}
+
+void
+peer_transport::Close(peer_id aPeer)
+{
+  auto found = mLinks.find(aPeer);
+  if (found != mLinks.end()) {
+    Shut(*found->second, false);
+  }
+}
+
+void
+peer_transport::Sweep()
+{
+  gint64 now = g_get_monotonic_time();
+  for (auto entry = mLinks.begin(); entry != mLinks.end();) {
+    link& checked = *entry->second;
+    bool greeting = checked.mState == link_state::Connecting ||
+                    checked.mState == link_state::Greeting;
+    if (greeting && now - checked.mSince > kHandshakeLimitUs) {
+      Shut(checked, false);
+    }
+    entry = checked.mState == link_state::Closed ? mLinks.erase(entry)
+                                                 : std::next(entry);
+  }
+}
+
+} // namespace cactusmast
--- /dev/null
+++ b/shell/table_client.h
@@ -0,0 +1,48 @@
+// The platform's table service over its HTTP protocol (docs/PROTOCOL.md).
+
+#ifndef SHELL_TABLE_CLIENT_H_
+#define SHELL_TABLE_CLIENT_H_
+
+#include <functional>
+#include <string>
+
+#include "cactusmast/ports.h"
+#include "shell/http_client.h"
+
+namespace cactusmast {
+
+struct table_counters
+{
+  uint64_t mReads = 0;
+  uint64_t mWrites = 0;
+  uint64_t mUnavailable = 0;
+};
+
+class table_client : public table_store
+{
+public:
+  using callback = std::function<void(const table_reply&)>;
+
+  table_client(std::string aUrl, uint32_t aTimeoutMs, callback aOnReply);
+
+  uint64_t Read(const std::string& aPrefix,
+                uint32_t aLimit,
+                bool aNewestFirst) override;
+  uint64_t Commit(std::vector<table_write> aWrites) override;
+
+  const table_counters& Counters() const { return mCounters; }
+
+private:
+  void Send(uint64_t aRequest, const std::string& aPath, std::string aBody);
+  table_reply Decode(uint64_t aRequest, const http_response& aResponse) const;
+
+  std::string mUrl;
+  http_client mClient;
+  callback mOnReply;
+  uint64_t mNext = 1;
+  table_counters mCounters;
+};
+
+} // namespace cactusmast
+
+#endif // SHELL_TABLE_CLIENT_H_
--- /dev/null
+++ b/standins/backend_server_main.cc
@@ -0,0 +1,197 @@
+// Stand-in for a backend server, for demonstrations, tests and measurements.
+// It announces itself to its guard, runs tasks for the time their payload
+// asks for, divided by its own speed, and counts how often each task ran.
+
+#include <docopt/docopt.h>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <nlohmann/json.hpp>
+
+#include "shell/daemon.h"
+#include "shell/http_client.h"
+#include "shell/http_server.h"
+
+namespace {
+
+using namespace cactusmast;
+using nlohmann::json;
+
+constexpr char kUsage[] = R"(backend-server: stand-in for a backend server.
+
+Usage:
+  backend-server --listen=HOST:PORT --guard=URL --services=LIST
+                 [--slots=N] [--speed=X] [--cpus=N] [--memory-mb=N]
+                 [--accelerators=N] [--fail=SHARE] [--record=FILE]
+
+Options:
+  --listen=HOST:PORT  Address to serve.
+  --guard=URL         The guard beside it.
+  --services=LIST     Services it runs, separated by commas.
+  --slots=N           Tasks at once [default: 8].
+  --speed=X           Divides the run times [default: 1].
+  --cpus=N            Announced processors [default: 32].
+  --memory-mb=N       Announced memory [default: 131072].
+  --accelerators=N    Announced accelerators [default: 0].
+  --fail=SHARE        Share of tasks that fail at once [default: 0].
+  --record=FILE       Append the name of every task that starts to FILE.
+)";
+
+constexpr size_t kMaxBody = 8u << 20;
+constexpr guint kRenewMs = 500;
+
+class backend_standin : public daemon_loop
+{
+public:
+  explicit backend_standin(std::map<std::string, docopt::value> aArguments)
+    : mArguments(std::move(aArguments))
+    , mClient(4, 2000)
+    , mSpeed(std::stod(mArguments["--speed"].asString()))
+    , mFail(std::stod(mArguments["--fail"].asString()))
+  {
+    if (mArguments["--record"]) {
+      mRecord.open(mArguments["--record"].asString(), std::ios::app);
+    }
+  }
+
+  void Open()
+  {
+    mHttp = std::move(http_server::Create(
+                        mArguments["--listen"].asString(),
+                        kMaxBody,
+                        [this](http_exchange& aOne) { OnRequest(aOne); },
+                        [](uint64_t) {})
+                        .Value());
+    Announce();
+    g_timeout_add(
+      kRenewMs,
+      [](gpointer aData) -> gboolean {
+        static_cast<backend_standin*>(aData)->Announce();
+        return G_SOURCE_CONTINUE;
+      },
+      this);
+  }
+
+protected:
+  void OnTick() override {}
+  void OnDrain() override
+  {
+    mLeaving = true;
+    Tell("/v1/withdraw", "{}");
+  }
+  bool IsDrained() override { return mRunning == 0; }
+  void OnAbort() override {}
+
+private:
+  struct run
+  {
+    backend_standin* mSelf;
+    uint64_t mExchange;
+    std::string mOutput;
+    int mStatus;
+  };
+
+  void Announce()
+  {
+    if (mLeaving) {
+      return;
+    }
+    json services = json::array();
+    std::string list = mArguments["--services"].asString();
+    for (size_t start = 0; start <= list.size();) {
+      size_t comma = std::min(list.find(',', start), list.size());
+      services.push_back(list.substr(start, comma - start));
+      start = comma + 1;
+    }
+    json body = { { "url", "http://" + mArguments["--listen"].asString() },
+                  { "services", services },
+                  { "slots", mArguments["--slots"].asLong() },
+                  { "cpus", mArguments["--cpus"].asLong() },
+                  { "memory_mb", mArguments["--memory-mb"].asLong() },
+                  { "accelerators", mArguments["--accelerators"].asLong() } };
+    Tell("/v1/announce", body.dump());
+  }
+
+  void Tell(const std::string& aPath, const std::string& aBody)
+  {
+    http_request request;
+    request.mUrl = mArguments["--guard"].asString() + aPath;
+    request.mBody = aBody;
+    mClient.Send(request, [](const http_response&) {});
+  }
+
+  void OnRequest(http_exchange& aExchange)
+  {
+    if (aExchange.Path() == "/run") {
+      OnRun(aExchange);
+    } else if (aExchange.Path() == "/counters") {
+      json counters = { { "started", mStarted },
+                        { "repeated", mRepeated },
+                        { "running", mRunning },
+                        { "over_slots", mOverSlots } };
+      mHttp->Answer(aExchange.Id(), { 200, counters.dump() });
+    } else {
+      mHttp->Answer(aExchange.Id(), { 200, "{}" });
+    }
+  }
+
+  void OnRun(http_exchange& aExchange)
+  {
+    std::string task = aExchange.Header("X-Task");
+    mStarted++;
+    mRepeated += ++mSeen[task] > 1 ? 1 : 0;
+    if (mRecord.is_open()) {
+      mRecord << task << std::endl;
+    }
+    json body = json::parse(aExchange.Body(), nullptr, false);
+    double sleepMs = body.is_object() ? body.value("sleep_ms", 0.0) : 0.0;
+    bool fails = g_random_double() < mFail ||
+                 (body.is_object() && body.value("fail", false));
+    mRunning++;
+    mOverSlots += mRunning > uint32_t(mArguments["--slots"].asLong()) ? 1 : 0;
+    auto* planned = new run{ this,
+                             aExchange.Id(),
+                             fails ? "{\"error\":\"asked to fail\"}"
+                                   : "{\"done\":\"" + task + "\"}",
+                             fails ? 500 : 200 };
+    g_timeout_add(
+      guint(fails ? 0 : sleepMs / mSpeed),
+      [](gpointer aData) -> gboolean {
+        std::unique_ptr<run> due(static_cast<run*>(aData));
+        due->mSelf->mRunning--;
+        due->mSelf->mHttp->Answer(due->mExchange,
+                                  { due->mStatus, due->mOutput });
+        return G_SOURCE_REMOVE;
+      },
+      planned);
+  }
+
+  std::map<std::string, docopt::value> mArguments;
+  http_client mClient;
+  std::unique_ptr<http_server> mHttp;
+  std::map<std::string, uint32_t> mSeen;
+  std::ofstream mRecord;
+  double mSpeed;
+  double mFail;
+  uint64_t mStarted = 0;
+  uint64_t mRepeated = 0;
+  uint64_t mOverSlots = 0;
+  uint32_t mRunning = 0;
+  bool mLeaving = false;
+};
+
+} // namespace
+
+int
+main(int argc, char** argv)
+{
+  auto arguments = docopt::docopt(kUsage, { argv + 1, argv + argc }, true, "");
+  try {
+    backend_standin standin(arguments);
+    standin.Open();
+    return standin.Run(60000);
+  } catch (const failure& error) {
+    std::cerr << error.Step() << ": " << error.what() << "\n";
+    return 2;
+  }
+}
