Scenarios on a virtual clock, a history checker, and safeguard mutants

Cause: the promises had no proof. Change: a world of hand-written fakes, scenario files for every sentence of what fails, a checker of all eight promises over recorded events, and a list of safeguards with the scenario that fails without each. Failures found on the way and mended: a guard woken from a pause cut off tasks whose results lay in its sockets; keys refused as in doubt could be started once the doubt expired; in-doubt callers were asked back only after the retention time. Conclusion: at-most-once holds through owner loss without any table write on a task's path.

--- a/Makefile
+++ b/Makefile
@@ -67,6 +67,45 @@
   $(CORE_LIB)
 	@$(CXX) $(LDFLAGS) $^ $(SHELL_LIBS) -o $@
 
+$(BUILD)/cactusmast-test: $(TEST_OBJECTS) $(SHELL_LIB) $(CORE_LIB)
+	@$(CXX) $(LDFLAGS) $^ $(SHELL_LIBS) -lrapidcheck -o $@
+
+# Every test; the last line counts them.
+test: deps
+	@$(MAKE) --no-print-directory programs $(BUILD)/cactusmast-test
+	@scripts/run_tests.sh $(BUILD)
+
+# Our own sources; generated/ keeps its generator's form.
+OWN_SOURCES := $(wildcard cactusmast/*.cc \
+  cactusmast/*.h cactusmast/testing/*.cc cactusmast/testing/*.h shell/*.cc \
+  shell/*.h util/*.h cmd/*.cc standins/*.cc bench/*.cc bench/*.h fuzz/*.cc)
+
+format:
+	@clang-format -i $(OWN_SOURCES)
+
+format-check:
+	@clang-format --dry-run -Werror $(OWN_SOURCES)
+
+LINT_STAMPS := $(patsubst %.cc,$(BUILD)/lint/%.ok,$(filter-out %_test.cc \
+  %_bench.cc fuzz/%,$(filter %.cc,$(OWN_SOURCES))))
+
+lint: $(LINT_STAMPS)
+
+$(BUILD)/lint/%.ok: %.cc .clang-tidy
+	@mkdir -p $(@D)
+	@echo LINT $<
+	@clang-tidy --quiet $< -- -std=c++17 -I. -DBOOST_LOG_DYN_LINK \
+	  $(shell pkg-config --cflags $(PACKAGES)) 2>$@.err || \
+	  (cat $@.err; exit 1)
+	@touch $@
+
+# The library's tests under AddressSanitizer and UBSan.
+sanitize:
+	@$(MAKE) --no-print-directory BUILD=$(BUILD)/sanitize OPT="-O1 -g" \
+	  SANITIZE="-fsanitize=address,undefined -fno-sanitize-recover=all" \
+	  $(BUILD)/sanitize/cactusmast-test
+	@$(BUILD)/sanitize/cactusmast-test --minimal
+
 generate: schema/wire.fbs
 	flatc --cpp --gen-object-api --object-suffix _msg --scoped-enums \
 	  --cpp-std c++17 -o cactusmast $<
--- a/cactusmast/guard_node.cc
+++ b/cactusmast/guard_node.cc
@@ -8,6 +8,9 @@
 
 using std::chrono::milliseconds;
 
+// After a pause, what the backend server sent meanwhile is read first, before
+// its tasks or its announcement are taken to have run out of time.
+constexpr milliseconds kPauseGrace{ 1000 };
 constexpr milliseconds kConnectInterval{ 700 };
 // Records are sent in messages of at most this many, far below any frame
 // limit.
@@ -50,11 +53,30 @@
                      instant aNow)
 {
   NoticePause(aNow);
+  DropOlderLinks(aIdentity);
   mPeers[aPeer] = peer_row{ aIdentity, aNow };
   mEvents.Emit(event_code::PeerUp, { { "peer", PeerName(aIdentity) } });
   SendState(aPeer);
 }
 
+// An entry that connects anew has given its old link up, even if this end has
+// not been told yet.
+void
+guard_node::DropOlderLinks(const peer_identity& aIdentity)
+{
+  for (auto entry = mPeers.begin(); entry != mPeers.end();) {
+    if (entry->second.mIdentity.mName != aIdentity.mName) {
+      ++entry;
+      continue;
+    }
+    mNetwork.Close(entry->first);
+    if (IsHolder(entry->first)) {
+      mHolder = 0;
+    }
+    entry = mPeers.erase(entry);
+  }
+}
+
 void
 guard_node::OnPeerDown(peer_id aPeer, instant /*aNow*/)
 {
@@ -85,6 +107,7 @@
   if (first || idle < mOptions.mLease || !mSafeguards.mDropLinksAfterPause) {
     return;
   }
+  mGraceUntil = aNow + kPauseGrace;
   for (const auto& [peer, row] : mPeers) {
     mEvents.Emit(event_code::PeerSilent,
                  { { "peer", PeerName(row.mIdentity) },
@@ -761,10 +784,12 @@
 guard_node::Tick(instant aNow)
 {
   NoticePause(aNow);
-  if (mAnnounced && aNow >= mAnnouncementEnd) {
-    EndBackend(event_code::BackendExpired);
+  if (aNow >= mGraceUntil) {
+    if (mAnnounced && aNow >= mAnnouncementEnd) {
+      EndBackend(event_code::BackendExpired);
+    }
+    TimeOutTasks(aNow);
   }
-  TimeOutTasks(aNow);
   ExpireRecords(aNow);
   if (mLeaseHeld && aNow >= mLeaseEnd) {
     // The holder fell silent, perhaps over a dead link: replace the link, so
--- a/cactusmast/guard_node.h
+++ b/cactusmast/guard_node.h
@@ -219,6 +219,7 @@
   void TrimResults();
   void FlushResults();
   void NoticePause(instant aNow);
+  void DropOlderLinks(const peer_identity& aIdentity);
   void KeepLinks(instant aNow);
   void ConnectMissing();
   void FinishDrain();
@@ -260,6 +261,7 @@
   instant mNextTableRead{};
   instant mNextConnect{};
   instant mLastActive{};
+  instant mGraceUntil{};
   bool mDraining = false;
   bool mRecordsHandedOver = false;
   bool mHandOverSent = false;
--- a/cactusmast/ids.h
+++ b/cactusmast/ids.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <string_view>
 
-#include "cactusmast/wire_generated.h"
+#include "generated/wire_generated.h"
 
 namespace cactusmast {
 
--- a/cactusmast/shard_owner.cc
+++ b/cactusmast/shard_owner.cc
@@ -492,8 +492,10 @@
     return aKnown.mLastAlive + mOptions.mJobs.mRetention <= aNow;
   };
   bool before = mMissing.empty();
+  size_t missing = mMissing.size();
   mMissing.erase(std::remove_if(mMissing.begin(), mMissing.end(), expired),
                  mMissing.end());
+  mDoubtExpired = mDoubtExpired || mMissing.size() < missing;
   mRosterGone.erase(
     std::remove_if(mRosterGone.begin(), mRosterGone.end(), expired),
     mRosterGone.end());
@@ -501,6 +503,9 @@
     mEvents.Emit(event_code::ShardComplete,
                  { { "shard", std::to_string(mOptions.mShard) } });
   }
+  if (mMissing.empty() && !mDoubtExpired) {
+    mDoubtful.clear();
+  }
   if (!mMissing.empty() && !mDoubtReported &&
       aNow - mClaimedAt >= mOptions.mHold) {
     mDoubtReported = true;
--- a/cactusmast/shard_owner.h
+++ b/cactusmast/shard_owner.h
@@ -318,6 +318,10 @@
   void AddWaiter(job_handle aJob, const waiter& aWaiter);
 
   void ReleaseHeld(instant aNow);
+  void NoteDoubtful(const job_id& aId, instant aNow);
+  // Whether aId was refused as in doubt and that doubt was never resolved.
+  bool IsDoubtful(const job_id& aId) const;
+  void SettleDoubtful(job_handle aJob, instant aNow);
   void ExpireWaiters(instant aNow);
   void ExpireDeadlines(instant aNow);
   void FailUnsatisfiable(instant aNow);
@@ -352,6 +356,11 @@
   std::vector<known_worker> mMissing;
   std::vector<known_worker> mRosterGone; // lost under this owner
   bool mDoubtReported = false;
+  // Keys that were refused as in doubt, and when last. If the missing workers
+  // report, they are forgotten; if the workers are given up, these keys can
+  // never be told from started ones and are answered as unknown.
+  std::unordered_map<job_id, instant, job_id_hash> mDoubtful;
+  bool mDoubtExpired = false;
   std::unordered_map<job_id, std::vector<recovered_task>, job_id_hash>
     mRecovered;
   std::unordered_map<job_id, wire::decided_job_msg, job_id_hash> mInherited;
--- a/cactusmast/shard_owner_jobs.cc
+++ b/cactusmast/shard_owner_jobs.cc
@@ -10,6 +10,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kRefusedBackOff{ 200 };
+constexpr milliseconds kDoubtRetry{ 1500 };
 // A task is not sent to a worker on which half of its expected run time is
 // already more than what is left before the deadline.
 constexpr int kHopelessDivisor = 2;
@@ -130,10 +131,10 @@
     }
     // An earlier owner may have accepted this key and started its tasks on a
     // worker that cannot be asked. Starting them again could run them twice.
-    instant ends{};
-    for (const known_worker& missing : mMissing) {
-      ends = std::max(ends, missing.mLastAlive + mOptions.mJobs.mRetention);
-    }
+    NoteDoubtful(held.mSubmission.mId, aNow);
+    // The worker may return at any moment, so the caller is asked back soon.
+    auto spread = milliseconds(
+      int64_t(double(kDoubtRetry.count()) * mRandom.NextUniform()));
     Refuse(held.mWaiter,
            failure(error_code::InDoubt,
                    "accept",
@@ -141,7 +142,41 @@
                    "an earlier submission under this key may have started on "
                    "a worker that does not answer",
                    run_state::Unknown,
-                   std::chrono::duration_cast<milliseconds>(ends - aNow)));
+                   kDoubtRetry + spread));
+  }
+}
+
+void
+shard_owner::NoteDoubtful(const job_id& aId, instant aNow)
+{
+  constexpr size_t kMaxDoubtful = 100000;
+  if (mDoubtful.size() >= kMaxDoubtful) {
+    // Make room by dropping those that nobody asked for in a retention time.
+    for (auto entry = mDoubtful.begin(); entry != mDoubtful.end();) {
+      bool old = entry->second + mOptions.mJobs.mRetention <= aNow;
+      entry = old ? mDoubtful.erase(entry) : std::next(entry);
+    }
+  }
+  mDoubtful[aId] = aNow;
+}
+
+bool
+shard_owner::IsDoubtful(const job_id& aId) const
+{
+  return mDoubtExpired && mDoubtful.count(aId) > 0;
+}
+
+// The workers that could have told are gone for good. What is not known from
+// other records may have started there, and must not start again.
+void
+shard_owner::SettleDoubtful(job_handle aJob, instant aNow)
+{
+  mDoubtful.erase(mJobs.At(aJob).mSubmission.mId);
+  uint32_t count = uint32_t(mJobs.At(aJob).mTasks.size());
+  for (uint32_t i = 0; i < count; i++) {
+    if (mJobs.At(aJob).mTasks[i].mState == task_state::Queued) {
+      SettleTask(aJob, i, run_state::Unknown, task_reason::WorkerLost, aNow);
+    }
   }
 }
 
@@ -202,7 +237,9 @@
 shard_owner::Accept(submission aSubmission, const waiter& aWaiter, instant aNow)
 {
   job_id id = aSubmission.mId;
-  bool recovered = mRecovered.count(id) > 0 || mInherited.count(id) > 0;
+  bool doubtful = IsDoubtful(id);
+  bool recovered =
+    doubtful || mRecovered.count(id) > 0 || mInherited.count(id) > 0;
   uint32_t count = uint32_t(aSubmission.mPayloads.size());
   try {
     const profile& rules = ProfileFor(aSubmission, recovered);
@@ -232,6 +269,9 @@
     if (recovered && RestoreTasks(job, aNow)) {
       return; // nothing is left to start or to wait for
     }
+    if (doubtful) {
+      SettleDoubtful(job, aNow);
+    }
     uint32_t queued = 0;
     for (const task_entry& task : row.mTasks) {
       queued += task.mState == task_state::Queued ? 1 : 0;
--- /dev/null
+++ b/cactusmast/testing/history.cc
@@ -0,0 +1,324 @@
+#include "cactusmast/testing/history.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace cactusmast::testing {
+namespace {
+
+using task_key = std::pair<std::string, uint32_t>;
+
+class checker
+{
+public:
+  checker(const history& aHistory, const check_options& aOptions)
+    : mHistory(aHistory)
+    , mOptions(aOptions)
+  {
+  }
+
+  std::vector<violation> Run()
+  {
+    Collect();
+    CheckStarts();
+    CheckAnswers();
+    CheckRefusals();
+    CheckLeaving();
+    CheckPlannedStops();
+    CheckConfiguration();
+    return mFound;
+  }
+
+private:
+  void Report(promise aPromise, const std::string& aText)
+  {
+    mFound.push_back({ aPromise, aText });
+  }
+
+  void Collect()
+  {
+    for (const history_event& event : mHistory) {
+      if (event.mKind == event_kind::Submit) {
+        mSubmits[event.mRequest] = &event;
+        mIdempotent[event.mKey] = event.mIdempotent;
+      } else if (event.mKind == event_kind::Start) {
+        mStarts[{ event.mKey, event.mIndex }]++;
+        mStartedKeys.insert(event.mKey);
+      } else if (event.mKind == event_kind::Fault) {
+        mFaults = true;
+      }
+    }
+  }
+
+  void CheckStarts()
+  {
+    for (const auto& [task, count] : mStarts) {
+      if (count <= 1) {
+        continue;
+      }
+      std::string text = task.first + "." + std::to_string(task.second) +
+                         " started " + std::to_string(count) + " times";
+      Report(promise::StartsAtMostOnce, text);
+      if (!mIdempotent[task.first]) {
+        Report(promise::NonIdempotentOnce, text);
+      }
+    }
+  }
+
+  void CheckAnswers()
+  {
+    std::set<uint64_t> answered;
+    std::map<std::string, const history_event*> decided;
+    for (const history_event& event : mHistory) {
+      bool reply =
+        event.mKind == event_kind::Answer || event.mKind == event_kind::Refuse;
+      if (!reply) {
+        continue;
+      }
+      auto submit = mSubmits.find(event.mRequest);
+      if (submit == mSubmits.end() || submit->second->mKey != event.mKey) {
+        Report(promise::OwnAnswer,
+               "request " + std::to_string(event.mRequest) +
+                 " got an answer to " + event.mKey);
+        continue;
+      }
+      if (!answered.insert(event.mRequest).second) {
+        Report(promise::OwnAnswer,
+               "request " + std::to_string(event.mRequest) +
+                 " was answered twice");
+      }
+      if (event.mKind == event_kind::Answer) {
+        CheckWhole(event, submit->second->mCount);
+        CheckSame(event, &decided);
+      }
+    }
+    for (const auto& [request, submit] : mSubmits) {
+      if (mOptions.mAllAnswered && answered.count(request) == 0) {
+        Report(promise::OwnAnswer,
+               "request " + std::to_string(request) + " (" + submit->mKey +
+                 ") was never answered");
+      }
+    }
+  }
+
+  void CheckWhole(const history_event& aAnswer, uint32_t aCount)
+  {
+    if (aAnswer.mTasks.size() != aCount) {
+      Report(promise::WholeAnswer,
+             aAnswer.mKey + ": " + std::to_string(aAnswer.mTasks.size()) +
+               " of " + std::to_string(aCount) + " tasks in the answer");
+      return;
+    }
+    bool allSucceeded = true;
+    for (uint32_t i = 0; i < aAnswer.mTasks.size(); i++) {
+      const answered_task& task = aAnswer.mTasks[i];
+      task_key name{ aAnswer.mKey, i };
+      bool succeeded = task.mOutcome == "succeeded";
+      allSucceeded = allSucceeded && succeeded;
+      if (succeeded && task.mOutput != ExpectedOutput(aAnswer.mKey, i)) {
+        Report(promise::OwnAnswer,
+               aAnswer.mKey + "." + std::to_string(i) + " carries " +
+                 task.mOutput);
+      }
+      if (succeeded && mStarts.count(name) == 0) {
+        Report(promise::WholeAnswer,
+               aAnswer.mKey + "." + std::to_string(i) +
+                 " succeeded without a start");
+      }
+      if (!succeeded && task.mRun == "not_run" && mStarts.count(name) > 0) {
+        Report(promise::RefusedNotRun,
+               aAnswer.mKey + "." + std::to_string(i) +
+                 " is said not to have run, but started");
+      }
+    }
+    if (allSucceeded != (aAnswer.mText == "complete")) {
+      Report(promise::WholeAnswer,
+             aAnswer.mKey + " is marked " + aAnswer.mText +
+               " against its tasks' outcomes");
+    }
+  }
+
+  // Two answers to one job must not differ.
+  void CheckSame(const history_event& aAnswer,
+                 std::map<std::string, const history_event*>* aDecided)
+  {
+    auto [entry, first] = aDecided->emplace(aAnswer.mKey, &aAnswer);
+    if (first || mFaults) {
+      return;
+    }
+    if (entry->second->mText != aAnswer.mText) {
+      Report(promise::WholeAnswer,
+             aAnswer.mKey + " was answered " + entry->second->mText +
+               " and then " + aAnswer.mText);
+    }
+  }
+
+  void CheckRefusals()
+  {
+    // A key of which every request was refused as not run must not start.
+    std::map<std::string, bool> onlyRefused;
+    for (const history_event& event : mHistory) {
+      if (event.mKind == event_kind::Submit) {
+        onlyRefused.emplace(event.mKey, true);
+      }
+    }
+    std::map<uint64_t, bool> refusedAsNotRun;
+    for (const history_event& event : mHistory) {
+      if (event.mKind == event_kind::Refuse && event.mRun == "not_run") {
+        refusedAsNotRun[event.mRequest] = true;
+      }
+    }
+    for (const auto& [request, submit] : mSubmits) {
+      if (refusedAsNotRun.count(request) == 0) {
+        onlyRefused[submit->mKey] = false;
+      }
+    }
+    for (const auto& [key, refused] : onlyRefused) {
+      if (refused && mStartedKeys.count(key) > 0) {
+        Report(promise::RefusedNotRun,
+               key + " was refused as not run, but started");
+      }
+    }
+  }
+
+  void CheckLeaving()
+  {
+    std::map<std::string, event_time> left;
+    for (const history_event& event : mHistory) {
+      if (event.mKind == event_kind::Left) {
+        left[event.mProcess] = event.mTime;
+      } else if (event.mKind == event_kind::Joined) {
+        left.erase(event.mProcess);
+      } else if (event.mKind == event_kind::Start) {
+        auto gone = left.find(event.mProcess);
+        if (gone != left.end() &&
+            event.mTime > gone->second + mOptions.mLeaveLimit) {
+          Report(promise::NothingAfterLeaving,
+                 event.mProcess + " got " + event.mKey + " after it left");
+        }
+      }
+    }
+  }
+
+  void CheckPlannedStops()
+  {
+    bool planned = std::any_of(
+      mHistory.begin(), mHistory.end(), [](const history_event& aEvent) {
+        return aEvent.mKind == event_kind::PlannedStop;
+      });
+    if (!planned || mFaults) {
+      return;
+    }
+    for (const history_event& event : mHistory) {
+      if (event.mKind == event_kind::Answer && event.mText != "complete") {
+        Report(promise::PlannedStopCutsNothing,
+               event.mKey + " ended " + event.mText +
+                 " though all stops were planned");
+      }
+    }
+  }
+
+  void CheckConfiguration()
+  {
+    std::map<std::string, uint64_t> inForce;
+    std::set<std::string> alive;
+    std::map<std::string, event_time> since;
+    uint64_t newest = 0;
+    event_time newestAt{};
+    event_time end = mHistory.empty() ? event_time{} : mHistory.back().mTime;
+    for (const history_event& event : mHistory) {
+      if (newest > 0 && event.mTime > newestAt + mOptions.mConfigLimit) {
+        CheckLagging(alive, since, inForce, newest, event.mTime);
+      }
+      switch (event.mKind) {
+        case event_kind::Started:
+          alive.insert(event.mProcess);
+          since[event.mProcess] = event.mTime;
+          break;
+        case event_kind::Stopped:
+          alive.erase(event.mProcess);
+          break;
+        case event_kind::Accepted:
+          newest = std::max(newest, event.mVersion);
+          newestAt = event.mTime;
+          break;
+        case event_kind::InForce:
+          if (event.mVersion < inForce[event.mProcess]) {
+            Report(promise::ConfigurationInForce,
+                   event.mProcess + " went back from version " +
+                     std::to_string(inForce[event.mProcess]) + " to " +
+                     std::to_string(event.mVersion));
+          }
+          inForce[event.mProcess] = event.mVersion;
+          break;
+        default:
+          break;
+      }
+    }
+    if (newest > 0 && end > newestAt + mOptions.mConfigLimit) {
+      CheckLagging(alive, since, inForce, newest, end);
+    }
+  }
+
+  void CheckLagging(const std::set<std::string>& aAlive,
+                    const std::map<std::string, event_time>& aSince,
+                    const std::map<std::string, uint64_t>& aInForce,
+                    uint64_t aNewest,
+                    event_time aNow)
+  {
+    if (!mOptions.mConfigDeadline) {
+      return;
+    }
+    for (const std::string& process : aAlive) {
+      auto version = aInForce.find(process);
+      bool lags = version == aInForce.end() || version->second < aNewest;
+      bool young = aNow <= aSince.at(process) + mOptions.mConfigLimit;
+      if (lags && !young && mLagging.insert(process).second) {
+        Report(promise::ConfigurationInForce,
+               process + " does not have version " + std::to_string(aNewest) +
+                 " in force in time");
+      }
+    }
+  }
+
+  const history& mHistory;
+  const check_options& mOptions;
+  std::map<uint64_t, const history_event*> mSubmits;
+  std::map<std::string, bool> mIdempotent;
+  std::map<task_key, uint32_t> mStarts;
+  std::set<std::string> mStartedKeys;
+  std::set<std::string> mLagging;
+  bool mFaults = false;
+  std::vector<violation> mFound;
+};
+
+} // namespace
+
+std::string
+Name(promise aPromise)
+{
+  static const char* const kNames[] = { "starts_at_most_once",
+                                        "whole_answer",
+                                        "own_answer",
+                                        "refused_not_run",
+                                        "non_idempotent_once",
+                                        "nothing_after_leaving",
+                                        "planned_stop_cuts_nothing",
+                                        "configuration_in_force" };
+  return kNames[size_t(aPromise)];
+}
+
+std::string
+ExpectedOutput(const std::string& aKey, uint32_t aIndex)
+{
+  return "output of " + aKey + "." + std::to_string(aIndex);
+}
+
+std::vector<violation>
+Check(const history& aHistory, const check_options& aOptions)
+{
+  return checker(aHistory, aOptions).Run();
+}
+
+} // namespace cactusmast::testing
--- /dev/null
+++ b/cactusmast/testing/scenario.cc
@@ -0,0 +1,411 @@
+#include "cactusmast/testing/scenario.h"
+
+#include <functional>
+#include <map>
+#include <stdexcept>
+#include <yaml-cpp/yaml.h>
+
+namespace cactusmast::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+duration
+ReadTime(const YAML::Node& aNode)
+{
+  std::string text = aNode.as<std::string>();
+  size_t unit = text.find_first_not_of("0123456789.");
+  double number = std::stod(text.substr(0, unit));
+  std::string name = unit == std::string::npos ? "" : text.substr(unit);
+  static const std::map<std::string, double> kUnits = {
+    { "us", 1 }, { "ms", 1e3 }, { "s", 1e6 }, { "min", 60e6 }, { "h", 3600e6 }
+  };
+  auto found = kUnits.find(name);
+  if (found == kUnits.end()) {
+    throw std::runtime_error("not a time: " + text);
+  }
+  return duration(int64_t(number * found->second));
+}
+
+template<typename T>
+T
+Get(const YAML::Node& aNode, const char* aKey, T aDefault)
+{
+  return aNode[aKey] ? aNode[aKey].as<T>() : aDefault;
+}
+
+duration
+GetTime(const YAML::Node& aNode, const char* aKey, duration aDefault)
+{
+  return aNode[aKey] ? ReadTime(aNode[aKey]) : aDefault;
+}
+
+class runner
+{
+public:
+  runner(const YAML::Node& aScenario, const scenario_safeguards& aSafeguards)
+    : mScenario(aScenario)
+  {
+    YAML::Node made = mScenario["world"];
+    mOptions.mSeed = Get<uint64_t>(made, "seed", 1);
+    mOptions.mEntries = Get<uint32_t>(made, "entries", 2);
+    mOptions.mGuards = Get<uint32_t>(made, "guards", 3);
+    mOptions.mShards = Get<uint32_t>(made, "shards", 1);
+    mOptions.mSlots = Get<uint32_t>(made, "slots", 4);
+    mOptions.mRetention = GetTime(made, "retention", std::chrono::minutes(5));
+    mOptions.mEntrySafeguards = aSafeguards.mEntry;
+    mOptions.mGuardSafeguards = aSafeguards.mGuard;
+    mOptions.mHealth = aSafeguards.mHealth;
+  }
+
+  std::vector<std::string> Run()
+  {
+    mWorld = PrepareWorld(mOptions);
+    mZero = mWorld->Now();
+    for (const YAML::Node& step : mScenario["steps"]) {
+      duration at = ReadTime(step["at"]);
+      uint32_t times = Get<uint32_t>(step, "times", 1);
+      duration every = GetTime(step, "every", duration(0));
+      for (uint32_t i = 0; i < times; i++) {
+        mWorld->At(mZero + at + every * i, [this, step, i, times] {
+          Do(step, times > 1 ? "-" + std::to_string(i + 1) : "");
+        });
+      }
+    }
+    mWorld->RunUntil(mZero + ReadTime(mScenario["until"]));
+    check_options options;
+    options.mAllAnswered = Get<bool>(mScenario, "all_answered", true);
+    options.mConfigDeadline = Get<bool>(mScenario, "config_deadline", true);
+    for (const violation& broken : Check(mWorld->History(), options)) {
+      mFailures.push_back(Name(broken.mPromise) + ": " + broken.mText);
+    }
+    for (const YAML::Node& wanted : mScenario["expect"]) {
+      Expect(wanted);
+    }
+    return mFailures;
+  }
+
+private:
+  // "owner" and "other" name the entry that owns shard 0 now, and the first
+  // that does not.
+  std::string Resolve(const std::string& aName)
+  {
+    if (aName != "owner" && aName != "other") {
+      return aName;
+    }
+    std::string owner = OwnerOf(*mWorld, mOptions.mEntries, 0);
+    if (aName == "owner") {
+      if (owner.empty()) {
+        throw std::runtime_error("no entry owns the shard at that time");
+      }
+      mLastOwner = owner;
+      return owner;
+    }
+    for (uint32_t i = 1; i <= mOptions.mEntries; i++) {
+      std::string name = "entry-" + std::to_string(i);
+      if (name != owner) {
+        return name;
+      }
+    }
+    return owner;
+  }
+
+  uint32_t EntryNumber(const YAML::Node& aStep)
+  {
+    std::string name = Get<std::string>(aStep, "entry", "1");
+    if (name == "owner" || name == "other") {
+      name = Resolve(name).substr(sizeof "entry-" - 1);
+    }
+    return uint32_t(std::stoul(name));
+  }
+
+  void Do(const YAML::Node& aStep, const std::string& aSuffix)
+  {
+    auto what = aStep["do"].as<std::string>();
+    if (what == "submit") {
+      Submit(aStep, aSuffix);
+    } else if (what == "cancel") {
+      mWorld->Cancel(aStep["key"].as<std::string>() + aSuffix,
+                     EntryNumber(aStep));
+    } else if (what == "profile") {
+      PutProfile(aStep);
+    } else if (what == "table") {
+      table_faults faults;
+      faults.mDown = Get<bool>(aStep, "down", false);
+      faults.mLoseReply = Get<double>(aStep, "lose_reply", 0);
+      faults.mExtraDelay = GetTime(aStep, "slow", duration(0));
+      mWorld->SetTable(faults);
+    } else if (what == "push_old_config") {
+      mWorld->PushOldConfig(Get<uint64_t>(aStep, "version", 1));
+    } else if (what == "silence" || what == "block" || what == "unblock" ||
+               what == "delay") {
+      Link(what, aStep);
+    } else if (aStep["guard"]) {
+      Backend(what, aStep);
+    } else {
+      Process(what, aStep);
+    }
+  }
+
+  void Submit(const YAML::Node& aStep, const std::string& aSuffix)
+  {
+    caller_request request;
+    request.mKey = aStep["key"].as<std::string>() + aSuffix;
+    request.mTeam = Get<std::string>(aStep, "team", "members");
+    request.mProfile = Get<std::string>(aStep, "profile", "quote");
+    request.mTasks = Get<uint32_t>(aStep, "tasks", 1);
+    request.mRun = GetTime(aStep, "run", milliseconds(100));
+    request.mWait = GetTime(aStep, "wait", seconds(100));
+    request.mEntry = EntryNumber(aStep);
+    request.mPersistent = Get<bool>(aStep, "persistent", true);
+    mWorld->Submit(request);
+  }
+
+  void PutProfile(const YAML::Node& aStep)
+  {
+    profile changed;
+    for (const profile& known : ScenarioProfiles()) {
+      if (known.mName == aStep["name"].as<std::string>()) {
+        changed = known;
+      }
+    }
+    changed.mName = aStep["name"].as<std::string>();
+    changed.mService = Get<std::string>(aStep, "service", "ordering");
+    changed.mDeadlineMs =
+      Get<uint32_t>(aStep, "deadline_ms", changed.mDeadlineMs);
+    changed.mAccelerators = Get<uint32_t>(aStep, "accelerators", 0);
+    changed.mQueueLimit =
+      Get<uint32_t>(aStep, "queue_limit", changed.mQueueLimit);
+    changed.mMaxWaitMs =
+      Get<uint32_t>(aStep, "max_wait_ms", changed.mMaxWaitMs);
+    mWorld->PutProfile(
+      EntryNumber(aStep), changed, Get<uint64_t>(aStep, "revision", 1));
+  }
+
+  void Link(const std::string& aWhat, const YAML::Node& aStep)
+  {
+    std::string from = Resolve(aStep["from"].as<std::string>());
+    std::string to = Resolve(aStep["to"].as<std::string>());
+    if (Get<bool>(aStep, "last_owner", false)) {
+      from = mLastOwner;
+    }
+    bool both = Get<bool>(aStep, "both", false);
+    auto apply = [&](const std::string& aOne, const std::string& aTwo) {
+      if (aWhat == "silence") {
+        mWorld->Silence(aOne, aTwo);
+      } else if (aWhat == "block") {
+        mWorld->Block(aOne, aTwo);
+      } else if (aWhat == "unblock") {
+        mWorld->Unblock(aOne, aTwo);
+      } else {
+        mWorld->Delay(aOne, aTwo, ReadTime(aStep["by"]));
+      }
+    };
+    apply(from, to);
+    if (both) {
+      apply(to, from);
+    }
+  }
+
+  void Backend(const std::string& aWhat, const YAML::Node& aStep)
+  {
+    auto guard = aStep["guard"].as<uint32_t>();
+    if (aWhat == "withdraw") {
+      mWorld->WithdrawBackend(guard);
+    } else if (aWhat == "announce") {
+      mWorld->AnnounceBackend(guard);
+    } else if (aWhat == "kill_backend") {
+      mWorld->KillBackend(guard);
+    } else if (aWhat == "accelerators") {
+      mWorld->SetAccelerators(guard, Get<uint32_t>(aStep, "count", 1));
+    } else if (aWhat == "backend") {
+      mWorld->SetBackend(
+        guard, Get<double>(aStep, "speed", 1), Get<double>(aStep, "fail", 0));
+    } else {
+      throw std::runtime_error("unknown step " + aWhat);
+    }
+  }
+
+  void Process(const std::string& aWhat, const YAML::Node& aStep)
+  {
+    std::string name = Get<bool>(aStep, "last_owner", false)
+                         ? mLastOwner
+                         : Resolve(aStep["process"].as<std::string>());
+    static const std::map<std::string, void (world::*)(const std::string&)>
+      kSteps = {
+        { "kill", &world::Kill },       { "lose_machine", &world::LoseMachine },
+        { "restart", &world::Restart }, { "pause", &world::Pause },
+        { "resume", &world::Resume },   { "drain", &world::Drain }
+      };
+    auto found = kSteps.find(aWhat);
+    if (found == kSteps.end()) {
+      throw std::runtime_error("unknown step " + aWhat);
+    }
+    (*mWorld.*found->second)(name);
+  }
+
+  void Fail(const std::string& aText) { mFailures.push_back(aText); }
+
+  void Expect(const YAML::Node& aWanted)
+  {
+    if (aWanted["key"]) {
+      uint32_t times = Get<uint32_t>(aWanted, "times", 1);
+      for (uint32_t i = 0; i < times; i++) {
+        ExpectKey(aWanted,
+                  aWanted["key"].as<std::string>() +
+                    (times > 1 ? "-" + std::to_string(i + 1) : ""));
+      }
+    }
+    if (aWanted["changes"]) {
+      ExpectChanges(aWanted["changes"].as<std::vector<std::string>>());
+    }
+    if (aWanted["version"]) {
+      auto version = aWanted["version"].as<uint64_t>();
+      auto number = Get<uint32_t>(aWanted, "entry", 1);
+      uint64_t actual = mWorld->Entry(number)->Config().InForce().mVersion;
+      if (actual != version) {
+        Fail("version " + std::to_string(actual) + " is in force");
+      }
+    }
+    if (aWanted["backend"]) {
+      auto guard = aWanted["backend"].as<uint32_t>();
+      uint64_t most = Get<uint64_t>(aWanted, "at_most", UINT64_MAX);
+      uint64_t least = Get<uint64_t>(aWanted, "at_least", 0);
+      uint64_t starts = mWorld->StartsAt(guard);
+      if (starts > most || starts < least) {
+        Fail("backend " + std::to_string(guard) + " started " +
+             std::to_string(starts));
+      }
+    }
+  }
+
+  void ExpectKey(const YAML::Node& aWanted, const std::string& aKey)
+  {
+    std::vector<std::string> answers = mWorld->Answers(aKey);
+    std::string all;
+    for (const std::string& answer : answers) {
+      all += " " + answer;
+    }
+    if (aWanted["answer"]) {
+      auto wanted = aWanted["answer"].as<std::string>();
+      if (answers.empty() || answers.back() != wanted) {
+        Fail(aKey + " ended with" + all + ", not " + wanted);
+      }
+    }
+    if (aWanted["first"]) {
+      auto wanted = aWanted["first"].as<std::string>();
+      if (answers.empty() || answers.front() != wanted) {
+        Fail(aKey + " began with" + all + ", not " + wanted);
+      }
+    }
+    uint32_t starts = mWorld->Starts(aKey);
+    if (aWanted["starts"] && starts != aWanted["starts"].as<uint32_t>()) {
+      Fail(aKey + " started " + std::to_string(starts));
+    }
+    if (aWanted["within"]) {
+      ExpectWithin(aKey, ReadTime(aWanted["within"]));
+    }
+  }
+
+  // The time from the first request to the last reply.
+  void ExpectWithin(const std::string& aKey, duration aLimit)
+  {
+    event_time first{};
+    event_time last{};
+    for (const history_event& event : mWorld->History()) {
+      if (event.mKey != aKey) {
+        continue;
+      }
+      if (event.mKind == event_kind::Submit && first.count() == 0) {
+        first = event.mTime;
+      } else if (event.mKind == event_kind::Answer ||
+                 event.mKind == event_kind::Refuse) {
+        last = event.mTime;
+      }
+    }
+    if (last - first > aLimit) {
+      Fail(aKey + " took " + std::to_string((last - first).count() / 1000) +
+           " ms");
+    }
+  }
+
+  void ExpectChanges(const std::vector<std::string>& aWanted)
+  {
+    std::vector<std::string> actual;
+    for (const change_outcome& change : mWorld->Changes()) {
+      actual.push_back(change.mAccepted ? "accepted"
+                                        : std::string(Name(change.mError)));
+    }
+    // The changes that set the world up come first.
+    actual.erase(actual.begin(),
+                 actual.begin() + long(ScenarioProfiles().size()));
+    if (actual != aWanted) {
+      std::string all;
+      for (const std::string& one : actual) {
+        all += " " + one;
+      }
+      Fail("changes ended with" + all);
+    }
+  }
+
+  YAML::Node mScenario;
+  world_options mOptions;
+  std::unique_ptr<world> mWorld;
+  instant mZero{};
+  std::string mLastOwner;
+  std::vector<std::string> mFailures;
+};
+
+} // namespace
+
+std::vector<profile>
+ScenarioProfiles()
+{
+  profile quote;
+  quote.mName = "quote";
+  quote.mService = "ordering";
+  quote.mMaxWaitMs = 60000;
+  profile confirm = quote;
+  confirm.mName = "confirm-cut";
+  confirm.mIdempotent = false;
+  profile door = quote;
+  door.mName = "door-check";
+  door.mPriority = 9;
+  door.mDeadlineMs = 5000;
+  return { quote, confirm, door };
+}
+
+std::unique_ptr<world>
+PrepareWorld(const world_options& aOptions)
+{
+  auto made = std::make_unique<world>(aOptions);
+  made->RunUntil(made->Now() + seconds(3));
+  for (const profile& one : ScenarioProfiles()) {
+    made->PutProfile(1, one, 0);
+    made->RunUntil(made->Now() + milliseconds(100));
+  }
+  made->RunUntil(made->Now() + seconds(3));
+  return made;
+}
+
+std::string
+OwnerOf(world& aWorld, uint32_t aEntries, uint32_t aShard)
+{
+  for (uint32_t i = 1; i <= aEntries; i++) {
+    for (const auto& shard : aWorld.Entry(i)->Shards(aWorld.Now())) {
+      if (shard.mShard == aShard && shard.mLocal) {
+        return "entry-" + std::to_string(i);
+      }
+    }
+  }
+  return "";
+}
+
+std::vector<std::string>
+RunScenario(const std::string& aPath, const scenario_safeguards& aSafeguards)
+{
+  return runner(YAML::LoadFile(aPath), aSafeguards).Run();
+}
+
+} // namespace cactusmast::testing
--- /dev/null
+++ b/cactusmast/testing/scenario_test.cc
@@ -0,0 +1,108 @@
+// Runs every scenario file, and shows that each safeguard is needed: with it
+// switched off, the scenario that is named beside it must fail.
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <filesystem>
+#include <functional>
+
+#include "cactusmast/testing/scenario.h"
+
+namespace cactusmast::testing {
+namespace {
+
+std::vector<std::string>
+ScenarioFiles()
+{
+  std::vector<std::string> files;
+  for (const auto& entry : std::filesystem::directory_iterator("scenarios")) {
+    if (entry.path().extension() == ".yaml") {
+      files.push_back(entry.path().string());
+    }
+  }
+  std::sort(files.begin(), files.end());
+  return files;
+}
+
+struct mutant
+{
+  const char* mName;
+  const char* mScenario;
+  std::function<void(scenario_safeguards&)> mSwitchOff;
+};
+
+const std::vector<mutant>&
+Mutants()
+{
+  using s = scenario_safeguards;
+  static const std::vector<mutant> kMutants = {
+    { "guard drops links after a pause",
+      "guard_paused_past_deadline",
+      [](s& aSet) { aSet.mGuard.mDropLinksAfterPause = false; } },
+    { "guard refuses older configurations",
+      "old_configuration_returns",
+      [](s& aSet) { aSet.mGuard.mMonotonicConfig = false; } },
+    { "owner waits for records",
+      "owner_killed_guard_paused",
+      [](s& aSet) { aSet.mEntry.mOwner.mWaitForRecords = false; } },
+    { "owner uses records",
+      "owner_killed",
+      [](s& aSet) { aSet.mEntry.mOwner.mUseRecords = false; } },
+    { "owner deduplicates jobs",
+      "resubmitted",
+      [](s& aSet) { aSet.mEntry.mOwner.mDeduplicateJobs = false; } },
+    { "owner settles before it sends again",
+      "lost_dispatch",
+      [](s& aSet) { aSet.mEntry.mOwner.mSettleBeforeRetry = false; } },
+    { "changes compare the revision",
+      "operators_race",
+      [](s& aSet) { aSet.mEntry.mConfig.mCompareRevision = false; } },
+    { "changes read back after a lost reply",
+      "table_loses_replies",
+      [](s& aSet) { aSet.mEntry.mConfig.mReadBack = false; } },
+    { "entries refuse older configurations",
+      "old_configuration_returns",
+      [](s& aSet) { aSet.mEntry.mConfig.mMonotonicVersion = false; } },
+    { "failing workers are set aside",
+      "failing_worker",
+      [](s& aSet) { aSet.mHealth.mEnabled = false; } },
+  };
+  return kMutants;
+}
+
+std::string
+Join(const std::vector<std::string>& aLines)
+{
+  std::string joined;
+  for (const std::string& line : aLines) {
+    joined += "\n  " + line;
+  }
+  return joined;
+}
+
+} // namespace
+
+TEST_CASE("every scenario holds")
+{
+  std::vector<std::string> files = ScenarioFiles();
+  REQUIRE(files.size() >= 30);
+  for (const std::string& file : files) {
+    std::vector<std::string> failures = RunScenario(file);
+    CHECK_MESSAGE(failures.empty(), file, Join(failures));
+  }
+}
+
+TEST_CASE("every safeguard is needed by the scenario beside it")
+{
+  for (const mutant& one : Mutants()) {
+    scenario_safeguards without;
+    one.mSwitchOff(without);
+    std::string file = std::string("scenarios/") + one.mScenario + ".yaml";
+    CHECK_MESSAGE(!RunScenario(file, without).empty(),
+                  file,
+                  " holds without: ",
+                  std::string(one.mName));
+  }
+}
+
+} // namespace cactusmast::testing
