--- a/Makefile
+++ b/Makefile
@@ -108,7 +108,7 @@
 
 generate: schema/wire.fbs
 	flatc --cpp --gen-object-api --object-suffix _msg --scoped-enums \
-	  --cpp-std c++17 -o cactusmast $<
+	  --cpp-std c++17 -o generated $<
 
 demo: programs
 	@scripts/demo.sh $(BUILD)
--- a/cactusmast/config_agent.cc
+++ b/cactusmast/config_agent.cc
@@ -1,5 +1,6 @@
 #include "cactusmast/config_agent.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <nlohmann/json.hpp>
@@ -9,7 +10,6 @@
 
 using nlohmann::json;
 
-constexpr char kVersionKey[] = "config/version";
 // Between attempts of one step while the table does not answer.
 constexpr duration kRetryDelay = std::chrono::milliseconds(200);
 constexpr char kDocumentKey[] = "config/document";
@@ -121,7 +121,7 @@
   }
   if (aNow >= mNextPoll && mPollRequest == 0) {
     mNextPoll = aNow + mOptions.mPollInterval;
-    mPollRequest = mTable.Read(kVersionKey, 1, false);
+    mPollRequest = mTable.Read(kConfigVersionKey, 1, false);
   }
   if (Loaded() && !Fresh(aNow) && !mStaleReported) {
     mStaleReported = true;
@@ -209,8 +209,13 @@
 config_agent::OnPolled(const table_reply& aReply, instant aNow)
 {
   if (aReply.mStatus != table_status::Ok) {
+    mTableTried = true;
+    if (!Loaded() && !mOffered.empty()) {
+      Take(mOffered);
+    }
     return;
   }
+  mTableTried = true;
   mTableSeen = true;
   mLastConfirmed = aNow;
   if (mStaleReported) {
@@ -218,12 +223,13 @@
     mEvents.Emit(event_code::ConfigFresh,
                  { { "version", std::to_string(mConfig.mVersion) } });
   }
-  const table_row* row = FindRow(aReply, kVersionKey);
+  const table_row* row = FindRow(aReply, kConfigVersionKey);
   if (row == nullptr) {
     CommitInitial();
     return;
   }
-  if (ParseVersion(row->mValue) > mConfig.mVersion && mDocumentRequest == 0) {
+  mTableVersion = std::max(mTableVersion, ParseVersion(row->mValue));
+  if (mTableVersion > mConfig.mVersion && mDocumentRequest == 0) {
     mDocumentRequest = mTable.Read(kDocumentKey, 1, false);
   }
 }
@@ -238,7 +244,7 @@
   first.mVersion = 1;
   first.mShardCount = mOptions.mInitialShardCount;
   mInitialRequest =
-    mTable.Commit({ { kVersionKey, "1", 0, false },
+    mTable.Commit({ { kConfigVersionKey, "1", 0, false },
                     { kDocumentKey, first.Serialize(), 0, false } });
 }
 
@@ -254,7 +260,20 @@
 void
 config_agent::OnPushed(uint64_t aVersion, const std::string& aDocument)
 {
-  if (aVersion > mConfig.mVersion || !mSafeguards.mMonotonicVersion) {
+  if (!mSafeguards.mMonotonicVersion) {
+    Take(aDocument);
+    return;
+  }
+  if (!Loaded() && !mTableTried) {
+    // This process has just started, and the peer may be the one that lags.
+    // The table is asked first; the newest offer counts if it is away.
+    if (aVersion > mOfferedVersion) {
+      mOfferedVersion = aVersion;
+      mOffered = aDocument;
+    }
+    return;
+  }
+  if (aVersion > mConfig.mVersion && aVersion >= mTableVersion) {
     Take(aDocument);
   }
 }
@@ -351,7 +370,10 @@
     mNext = Apply(base);
     mNextRevision = RevisionOf(mNext, mPending.front().mChange);
     mWrites = {
-      { kVersionKey, std::to_string(mNext.mVersion), std::nullopt, false },
+      { kConfigVersionKey,
+        std::to_string(mNext.mVersion),
+        std::nullopt,
+        false },
       { kDocumentKey, mNext.Serialize(), row->mVersion, false },
       { AuditKey(mNext.mVersion),
         AuditRow(base, mNext, aWallSeconds),
--- a/cactusmast/config_agent.h
+++ b/cactusmast/config_agent.h
@@ -172,6 +172,10 @@
   std::string mDocument;
   bool mTableSeen = false;
   bool mStaleReported = false;
+  bool mTableTried = false;
+  uint64_t mTableVersion = 0; // the newest that the table has told
+  uint64_t mOfferedVersion = 0;
+  std::string mOffered; // by a peer, before the table was asked
   instant mLastConfirmed{};
   instant mNextPoll{};
   uint64_t mPollRequest = 0;
--- a/cactusmast/entry_membership.cc
+++ b/cactusmast/entry_membership.cc
@@ -2,6 +2,7 @@
 // there are, and the rows in the platform's table that tell.
 
 #include <algorithm>
+#include <cstdlib>
 #include <nlohmann/json.hpp>
 
 #include "cactusmast/entry_node.h"
@@ -13,14 +14,17 @@
 using std::chrono::milliseconds;
 
 constexpr uint32_t kMaxEntryRows = 256;
+constexpr uint32_t kMaxRosterRows = 1024;
 constexpr milliseconds kRosterInterval{ 200 };
 constexpr milliseconds kEntriesInterval{ 5000 };
 constexpr milliseconds kDialInterval{ 1000 };
 
+constexpr char kRosterPrefix[] = "roster/";
+
 std::string
 RosterKey(uint32_t aShard)
 {
-  return "roster/" + std::to_string(aShard);
+  return kRosterPrefix + std::to_string(aShard);
 }
 
 void
@@ -108,52 +112,54 @@
   }
   for (uint32_t number = 0; number < ShardCount(); number++) {
     shard_row& shard = Shard(number);
+    if (shard.mOwner != nullptr && shard.mOwner->Superseded()) {
+      StepDown(number, 0, aNow);
+      continue;
+    }
     if (shard.mOwner != nullptr) {
       ResolveConflict(number, aNow);
       continue;
     }
     bool claimable =
       !mDraining && OwnerPeer(number, aNow) == 0 && IsCandidate(number, aNow);
-    if (claimable && shard.mRosterRequest == 0) {
-      BeginClaim(number, aNow);
+    if (claimable && mRostersTried) {
+      Claim(number, shard.mEpochSeen + 1, aNow);
     }
   }
 }
 
-// The roster in the table names workers that may hold records and that this
-// process has never heard of.
-void
-entry_node::BeginClaim(uint32_t aShard, instant /*aNow*/)
-{
-  Shard(aShard).mRosterRequest = mTable.Read(RosterKey(aShard), 1, false);
-}
-
+// The rosters in the table name workers that may hold records, among them
+// some that this process has never heard of. Every entry reads them now and
+// then, so that it can take a shard over while the table is away.
 void
-entry_node::OnRoster(uint32_t aShard, const table_reply& aReply, instant aNow)
+entry_node::OnRosters(const table_reply& aReply, instant aNow)
 {
-  shard_row& shard = Shard(aShard);
-  shard.mRosterRequest = 0;
-  if (aReply.mStatus == table_status::Ok) {
-    shard.mRosterRead = true;
-    shard.mRoster.clear();
-    for (const table_row& row : aReply.mRows) {
-      json listed = json::parse(row.mValue, nullptr, false);
-      if (row.mKey != RosterKey(aShard) || !listed.is_array()) {
-        continue;
-      }
-      for (const json& worker : listed) {
-        int64_t age = mWallSeconds - worker.value("last", int64_t(0));
-        shard.mRoster.push_back(
-          { worker.value("name", ""),
-            worker.value("incarnation", uint64_t(0)),
-            aNow - std::chrono::seconds(std::max<int64_t>(0, age)) });
-      }
+  mRostersTried = true;
+  if (aReply.mStatus != table_status::Ok) {
+    return;
+  }
+  mRostersRead = true;
+  for (const table_row& row : aReply.mRows) {
+    json listed = json::parse(row.mValue, nullptr, false);
+    uint32_t number = uint32_t(
+      std::strtoul(row.mKey.c_str() + sizeof kRosterPrefix - 1, nullptr, 10));
+    if (!listed.is_array() || row.mKey != RosterKey(number)) {
+      continue;
+    }
+    std::vector<known_worker>& roster = Shard(number).mRoster;
+    roster.clear();
+    for (const json& worker : listed) {
+      int64_t age = mWallSeconds - worker.value("last", int64_t(0));
+      roster.push_back(
+        { worker.value("name", ""),
+          worker.value("incarnation", uint64_t(0)),
+          aNow - std::chrono::seconds(std::max<int64_t>(0, age)) });
     }
   }
-  bool still = shard.mOwner == nullptr && !mDraining &&
-               OwnerPeer(aShard, aNow) == 0 && IsCandidate(aShard, aNow);
-  if (still) {
-    Claim(aShard, shard.mEpochSeen + 1, aNow);
+  for (auto& [number, shard] : mShards) {
+    if (shard.mOwner != nullptr) {
+      shard.mOwner->OnRosterRead(shard.mRoster, aNow);
+    }
   }
 }
 
@@ -165,11 +171,10 @@
   for (const known_worker& worker : shard.mRoster) {
     MergeKnown(&known, worker);
   }
-  bool neverRead = !shard.mRosterRead;
-  if (neverRead && known.empty()) {
+  if (!mRostersRead) {
     // The table is away and this process is new: there may be workers with
     // records that it cannot know of.
-    known.push_back({ "unlisted", 0, aNow });
+    known.push_back({ kUnlistedWorker, 0, aNow });
   }
   duration retention = mOptions.mOwner.mJobs.mRetention;
   known.erase(std::remove_if(known.begin(),
@@ -438,6 +443,7 @@
   if (aNow >= mNextEntriesRead && mEntriesRequest == 0) {
     mNextEntriesRead = aNow + kEntriesInterval;
     mEntriesRequest = mTable.Read("entry/", kMaxEntryRows, false);
+    mRostersRequest = mTable.Read(kRosterPrefix, kMaxRosterRows, false);
   }
 }
 
@@ -482,6 +488,13 @@
         shard.mOwner->RosterVersion() == shard.mStoredVersion) {
       continue;
     }
+    if (!mRostersRead) {
+      // Writing now would wipe out the names of workers that the previous
+      // owner listed and this process has yet to read. Until then only
+      // processes that saw a worker know that it may hold records.
+      shard.mOwner->OnRosterStored(shard.mOwner->RosterVersion());
+      continue;
+    }
     shard.mNextStore = aNow + kRosterInterval;
     shard.mStoringVersion = shard.mOwner->RosterVersion();
     json listed = json::array();
@@ -520,11 +533,12 @@
     OnEntryRows(aReply, aNow);
     return;
   }
+  if (aReply.mRequest == mRostersRequest) {
+    mRostersRequest = 0;
+    OnRosters(aReply, aNow);
+    return;
+  }
   for (auto& [number, shard] : mShards) {
-    if (aReply.mRequest == shard.mRosterRequest) {
-      OnRoster(number, aReply, aNow);
-      return;
-    }
     if (aReply.mRequest != shard.mStoreRequest) {
       continue;
     }
--- a/cactusmast/entry_node.cc
+++ b/cactusmast/entry_node.cc
@@ -133,8 +133,8 @@
       owner->Detach(aPeer, aNow);
     }
     NoteSeen(row.mIdentity, aNow);
-    if (row.mWorkerKnown && row.mWorker.draining) {
-      // It handed its records over before it left; they are not missing.
+    if (row.mWorkerKnown && row.mWorker.records_kept) {
+      // Other guards took its records before it left; they are not missing.
       std::vector<known_worker>& seen = Shard(row.mIdentity.mShard).mSeen;
       const peer_identity& left = row.mIdentity;
       seen.erase(std::remove_if(seen.begin(),
--- a/cactusmast/entry_node.h
+++ b/cactusmast/entry_node.h
@@ -193,8 +193,6 @@
     std::unique_ptr<shard_owner> mOwner;
     std::vector<known_worker> mSeen;   // by this process
     std::vector<known_worker> mRoster; // read from the table
-    bool mRosterRead = false;
-    uint64_t mRosterRequest = 0;
     uint64_t mStoreRequest = 0;
     uint64_t mStoringVersion = 0;
     uint64_t mStoredVersion = 0;
@@ -266,7 +264,6 @@
 
   void RunElections(instant aNow);
   bool IsCandidate(uint32_t aShard, instant aNow) const;
-  void BeginClaim(uint32_t aShard, instant aNow);
   void Claim(uint32_t aShard, uint64_t aEpoch, instant aNow);
   void ResolveConflict(uint32_t aShard, instant aNow);
   void StepDown(uint32_t aShard, peer_id aSuccessor, instant aNow);
@@ -280,7 +277,7 @@
   void KeepRow(instant aNow);
   void StoreRosters(instant aNow);
   void OnEntryRows(const table_reply& aReply, instant aNow);
-  void OnRoster(uint32_t aShard, const table_reply& aReply, instant aNow);
+  void OnRosters(const table_reply& aReply, instant aNow);
   std::vector<std::string> EntryAddresses() const;
 
   entry_options mOptions;
@@ -314,6 +311,9 @@
   instant mNextRoute{};
   uint64_t mRowRequest = 0;
   uint64_t mEntriesRequest = 0;
+  uint64_t mRostersRequest = 0;
+  bool mRostersTried = false;
+  bool mRostersRead = false;
   bool mTableDown = false;
   bool mDraining = false;
 };
--- a/cactusmast/guard_node.cc
+++ b/cactusmast/guard_node.cc
@@ -1,6 +1,7 @@
 #include "cactusmast/guard_node.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <nlohmann/json.hpp>
 
 namespace cactusmast {
@@ -148,6 +149,11 @@
         OnCancel(*aMessage.Ascancel_tasks(), aNow);
       }
       break;
+    case message_kind::abandon:
+      if (IsHolder(aPeer)) {
+        OnAbandon(*aMessage.Asabandon(), aNow);
+      }
+      break;
     case message_kind::fetch:
       OnFetch(aPeer, *aMessage.Asfetch());
       break;
@@ -270,6 +276,8 @@
   if (mHandOverSent) {
     // The owner has taken the records over: this guard may stop.
     mRecordsHandedOver = true;
+    mRecordsKept = aRelease.records_kept;
+    BroadcastState();
     return;
   }
   mLeaseHeld = false;
@@ -522,6 +530,23 @@
   }
 }
 
+// The owner answered a job with tasks that had not started. Should it fail, the
+// next owner learns from this record that the answer is out.
+void
+guard_node::OnAbandon(const wire::abandon_msg& aAbandon, instant aNow)
+{
+  for (const task_ref& ref : aAbandon.refs) {
+    if (mRecords.count(ref) > 0 || mRecords.size() >= mOptions.mMaxRecords) {
+      continue;
+    }
+    record& row = mRecords[ref];
+    row.mState = record_state::Abandoned;
+    row.mAcked = true;
+    row.mEnded = aNow;
+    mEndedOrder.push_back({ aNow, ref });
+  }
+}
+
 void
 guard_node::OnFetch(peer_id aPeer, const wire::fetch_msg& aFetch)
 {
@@ -552,8 +577,16 @@
 {
   // A peer that was cut off may still push an old version; taking it would
   // undo an accepted change.
-  if (aPush.version <= mConfig.mVersion && mSafeguards.mMonotonicConfig) {
-    return;
+  if (mSafeguards.mMonotonicConfig) {
+    if (!mVersionTried) {
+      if (aPush.version > mOffered.version) {
+        mOffered = aPush;
+      }
+      return;
+    }
+    if (aPush.version <= mConfig.mVersion || aPush.version < mTableVersion) {
+      return;
+    }
   }
   result<deployment_config> parsed = deployment_config::Parse(aPush.document);
   if (!parsed.Ok()) {
@@ -579,7 +612,8 @@
       continue;
     }
     record& row = mRecords[item.ref()];
-    row.mState = record_state::Finished;
+    bool abandoned = item.state() == uint8_t(record_state::Abandoned);
+    row.mState = abandoned ? record_state::Abandoned : record_state::Finished;
     row.mAcked = true;
     row.mEnded = aNow;
     mEndedOrder.push_back({ aNow, item.ref() });
@@ -597,6 +631,11 @@
 void
 guard_node::OnTableReply(const table_reply& aReply, instant aNow)
 {
+  if (aReply.mRequest == mVersionRequest) {
+    mVersionRequest = 0;
+    OnVersionRead(aReply);
+    return;
+  }
   if (aReply.mRequest != mTableRequest) {
     return;
   }
@@ -618,6 +657,20 @@
   }
 }
 
+void
+guard_node::OnVersionRead(const table_reply& aReply)
+{
+  mVersionTried = true;
+  for (const table_row& row : aReply.mRows) {
+    mTableVersion = std::strtoull(row.mValue.c_str(), nullptr, 10);
+  }
+  if (mOffered.version > 0) {
+    wire::config_push_msg offered = std::move(mOffered);
+    mOffered = wire::config_push_msg();
+    OnConfig(offered);
+  }
+}
+
 void
 guard_node::Announce(const backend_announcement& aBackend, instant aNow)
 {
@@ -673,6 +726,7 @@
   state.draining = mDraining;
   state.config_version = mConfig.mVersion;
   state.running = mRunning;
+  state.records_kept = mRecordsKept;
   mNetwork.Send(aPeer, MakeMessage(std::move(state)));
 }
 
@@ -746,12 +800,16 @@
 
 // Replaces links over which nothing came for long: something between the two
 // ends may have lost track of them, which neither end is ever told. Entries
-// send their status on every link well within this time.
+// send their status on every link well within this time. A guard without an
+// owner does not wait that long: an owner may be trying to reach it over a
+// link that only seems to be open.
 void
 guard_node::KeepLinks(instant aNow)
 {
   for (auto entry = mPeers.begin(); entry != mPeers.end();) {
-    bool silent = aNow - entry->second.mLastHeard > mOptions.mLinkSilence;
+    duration limit =
+      Leased(aNow) ? mOptions.mLinkSilence : mOptions.mOwnerlessSilence;
+    bool silent = aNow - entry->second.mLastHeard > limit;
     if (!silent) {
       ++entry;
       continue;
@@ -802,6 +860,9 @@
       mHolder = 0;
     }
   }
+  if (!mVersionTried && mVersionRequest == 0) {
+    mVersionRequest = mTable.Read(kConfigVersionKey, 1, false);
+  }
   if (aNow >= mNextTableRead && mTableRequest == 0) {
     mNextTableRead = aNow + mOptions.mTableInterval;
     mTableRequest = mTable.Read("entry/", kMaxEntries, false);
--- a/cactusmast/guard_node.h
+++ b/cactusmast/guard_node.h
@@ -52,6 +52,8 @@
   duration mAnnouncementLife = std::chrono::seconds(2);
   // Links over which nothing came for this long are replaced.
   duration mLinkSilence = std::chrono::seconds(45);
+  // The same while no entry holds the lease.
+  duration mOwnerlessSilence = std::chrono::seconds(4);
   duration mTableInterval = std::chrono::seconds(30);
 };
 
@@ -188,7 +190,9 @@
                   instant aNow);
   void OnSettle(peer_id aPeer, const wire::settle_msg& aSettle, instant aNow);
   void OnCancel(const wire::cancel_tasks_msg& aCancel, instant aNow);
+  void OnAbandon(const wire::abandon_msg& aAbandon, instant aNow);
   void OnFetch(peer_id aPeer, const wire::fetch_msg& aFetch);
+  void OnVersionRead(const table_reply& aReply);
   void OnConfig(const wire::config_push_msg& aPush);
   void Adopt(const wire::records_msg& aRecords, instant aNow);
   void OnPeerStatus(const wire::peer_status_msg& aStatus);
@@ -256,6 +260,12 @@
   instant mAnnouncementEnd{};
 
   deployment_config mConfig;
+  // A new guard knows no version, and would believe a peer that lags. It asks
+  // the table once; until that is answered, the newest offer waits.
+  uint64_t mVersionRequest = 0;
+  bool mVersionTried = false;
+  uint64_t mTableVersion = 0;
+  wire::config_push_msg mOffered;
   guard_counters mCounters;
   uint64_t mTableRequest = 0;
   instant mNextTableRead{};
@@ -264,6 +274,7 @@
   instant mGraceUntil{};
   bool mDraining = false;
   bool mRecordsHandedOver = false;
+  bool mRecordsKept = false;
   bool mHandOverSent = false;
 };
 
--- a/cactusmast/message.h
+++ b/cactusmast/message.h
@@ -98,9 +98,13 @@
   Tombstone, // will never start here
   Running,
   Finished,
+  Abandoned, // stands for all of a job's tasks that have no other record
   Count
 };
 
+// The index of a record that stands for a whole job.
+constexpr uint32_t kWholeJob = UINT32_MAX;
+
 std::string_view
 Name(process_role aRole);
 std::string_view
--- a/cactusmast/ports.h
+++ b/cactusmast/ports.h
@@ -30,6 +30,9 @@
   virtual void Connect(const std::string& aAddress) = 0;
 };
 
+// Row that holds the version of the configuration alone.
+constexpr char kConfigVersionKey[] = "config/version";
+
 struct table_row
 {
   std::string mKey;
--- a/cactusmast/shard_owner.cc
+++ b/cactusmast/shard_owner.cc
@@ -14,6 +14,8 @@
 constexpr milliseconds kClaimRetry{ 200 };
 constexpr uint32_t kExpirePerTick = 2000;
 constexpr size_t kHandoverTasks = 5000;
+// Guards that keep a record that concerns no start of their own.
+constexpr uint32_t kCopies = 2;
 
 } // namespace
 
@@ -27,9 +29,10 @@
     &owner_counters::mResultTasks,      &owner_counters::mDuplicateResults,
     &owner_counters::mRefusedTasks,     &owner_counters::mAckMessages,
     &owner_counters::mSettleMessages,   &owner_counters::mCancelMessages,
-    &owner_counters::mFetchMessages,    &owner_counters::mLeaseMessages,
-    &owner_counters::mJobsAccepted,     &owner_counters::mJobsRefused,
-    &owner_counters::mJobsComplete,     &owner_counters::mJobsFailed,
+    &owner_counters::mFetchMessages,    &owner_counters::mAbandonMessages,
+    &owner_counters::mLeaseMessages,    &owner_counters::mJobsAccepted,
+    &owner_counters::mJobsRefused,      &owner_counters::mJobsComplete,
+    &owner_counters::mJobsFailed,
   };
   for (member counter : kMembers) {
     aInto->*counter += aFrom.*counter;
@@ -56,6 +59,7 @@
   , mClaimedAt(aNow)
   , mDispatcher(mOptions.mDispatcher)
   , mJobs(mOptions.mJobs)
+  , mInitialKnown(aKnown)
   , mMissing(aKnown)
 {
   if (!mSafeguards.mWaitForRecords) {
@@ -131,7 +135,9 @@
   row->mLeased = false;
   row->mLeaseEnd = {};
   row->mLinkDownSince = aNow;
+  row->mStopping = false;
   UpdateAccepting(*row, aNow);
+  OnCopyConfirmed(std::string(row->mIdentity.mName), 0, aNow);
 }
 
 void
@@ -224,8 +230,18 @@
   if (!aReply.granted) {
     row->mLeased = false;
     row->mLeaseEnd = {};
-    // The guard has seen a later owner than this one knew of. A claim must
-    // come after it, and waits until the guard's present lease has ended.
+    bool another = aReply.epoch >= mEpoch;
+    if (another && mEverLeased && mSafeguards.mStepDownWhenSuperseded) {
+      mSuperseded = true;
+      UpdateAccepting(*row, aNow);
+      return;
+    }
+    // Nothing was granted to this owner yet. Its claim must come after the
+    // latest owner's, and waits until the guard's present lease has ended.
+    if (another && mSafeguards.mWaitForRecords) {
+      // Whatever a previous owner handed over, somebody came in between.
+      mMissing = mInitialKnown;
+    }
     mEpoch = std::max(mEpoch, aReply.epoch + 1);
     UpdateAccepting(*row, aNow);
     return;
@@ -237,9 +253,11 @@
   ConfirmLease(*row, aReply.sequence, aNow);
   if (!row->mLeased) {
     row->mLeased = true;
+    mEverLeased = true;
     OnLeased(*row);
   }
   UpdateAccepting(*row, aNow);
+  OnCopyConfirmed(std::string(row->mIdentity.mName), aReply.sequence, aNow);
 }
 
 void
@@ -324,7 +342,7 @@
         row->mFlights.count(item.ref()) > 0) {
       continue;
     }
-    if (mSafeguards.mUseRecords) {
+    if (mSafeguards.mUseRecords && !MergeRecord(item, *row, aNow)) {
       mRecovered[JobOf(item.ref())].push_back(
         { item.ref().index(), state, item.has_result(), row->mIdentity.mName });
     }
@@ -347,6 +365,32 @@
   CheckComplete(aNow);
 }
 
+// A record of a task that stands as queued here: the job came to this owner
+// before the record did. True when the job is present.
+bool
+shard_owner::MergeRecord(const wire::record_summary& aRecord,
+                         const worker_row& aFrom,
+                         instant aNow)
+{
+  job_handle job = 0;
+  if (!mJobs.Find(JobOf(aRecord.ref()), &job)) {
+    return false;
+  }
+  job_row& present = mJobs.At(job);
+  uint32_t index = aRecord.ref().index();
+  if (index < present.mTasks.size() &&
+      present.mTasks[index].mState == task_state::Queued) {
+    RestoreTask(job,
+                { index,
+                  record_state(aRecord.state()),
+                  aRecord.has_result(),
+                  aFrom.mIdentity.mName },
+                aNow);
+    FetchRestored(job);
+  }
+  return true;
+}
+
 // A guard that stops as planned has no running tasks, and its results are
 // here. Its start records must outlive it, though: if this process fails
 // before their retention ends, the next owner would find no trace of those
@@ -356,17 +400,61 @@
 shard_owner::PassRecordsOn(const worker_row& aFrom,
                            const wire::records_msg& aRecords)
 {
-  constexpr uint32_t kCopies = 2;
+  for (const std::string& copier : Copiers(aFrom)) {
+    mNetwork.Send(mWorkers[copier].mPeer,
+                  MakeMessage(wire::records_msg(aRecords)));
+  }
+}
+
+std::vector<std::string>
+shard_owner::Copiers(const worker_row& aFrom) const
+{
+  std::vector<std::string> copiers;
+  for (const auto& [name, row] : mWorkers) {
+    bool able = &row != &aFrom && row.mPeer != 0 && row.mLeased &&
+                !row.mDraining && copiers.size() < kCopies;
+    if (able) {
+      copiers.push_back(name);
+    }
+  }
+  return copiers;
+}
+
+void
+shard_owner::NoteAbandoned(const job_row& aRow)
+{
+  bool some = std::any_of(
+    aRow.mResults.begin(), aRow.mResults.end(), [](const auto& aResult) {
+      return aResult.outcome != uint8_t(task_outcome::Succeeded) &&
+             aResult.run == uint8_t(run_state::NotRun);
+    });
+  if (some && mSafeguards.mRecordAbandoned) {
+    mAbandoned.push_back(RefOf(aRow.mSubmission.mId, kWholeJob));
+  }
+}
+
+// An answer with tasks that did not run must stay true: were this owner lost
+// and the job submitted again, the next one would find no record of them and
+// start them. One message for any number of jobs keeps that from happening.
+void
+shard_owner::SendAbandoned()
+{
+  if (mAbandoned.empty()) {
+    return;
+  }
   uint32_t sent = 0;
   for (const auto& [name, row] : mWorkers) {
-    if (&row == &aFrom || row.mPeer == 0 || !row.mLeased || row.mDraining) {
+    if (row.mPeer == 0 || !row.mLeased || sent == kCopies) {
       continue;
     }
-    mNetwork.Send(row.mPeer, MakeMessage(wire::records_msg(aRecords)));
-    if (++sent == kCopies) {
-      return;
-    }
+    wire::abandon_msg abandon;
+    abandon.epoch = mEpoch;
+    abandon.refs = mAbandoned;
+    mCounters.mAbandonMessages++;
+    mNetwork.Send(row.mPeer, MakeMessage(std::move(abandon)));
+    sent++;
   }
+  mAbandoned.clear();
 }
 
 void
@@ -384,14 +472,68 @@
 void
 shard_owner::OnCleanStop(worker_row& aRow, instant aNow)
 {
+  aRow.mStopping = true;
+  aRow.mAwaitedCopies.clear();
+  for (const std::string& copier : Copiers(aRow)) {
+    // Confirming this request, which follows the records on the same link,
+    // confirms them as well.
+    worker_row& keeper = mWorkers[copier];
+    RequestLease(keeper, aNow);
+    aRow.mAwaitedCopies[copier] = keeper.mSequence;
+  }
+  if (aRow.mAwaitedCopies.empty()) {
+    FinishCleanStop(std::string(aRow.mIdentity.mName), false, aNow);
+  }
+}
+
+void
+shard_owner::OnCopyConfirmed(const std::string& aCopier,
+                             uint64_t aSequence,
+                             instant aNow)
+{
+  std::vector<std::string> kept;
+  std::vector<std::string> lost;
+  for (auto& [name, row] : mWorkers) {
+    auto awaited = row.mAwaitedCopies.find(aCopier);
+    if (!row.mStopping || awaited == row.mAwaitedCopies.end()) {
+      continue;
+    }
+    if (aSequence >= awaited->second) {
+      kept.push_back(name);
+    } else if (aSequence == 0) {
+      row.mAwaitedCopies.erase(awaited);
+      if (row.mAwaitedCopies.empty()) {
+        lost.push_back(name);
+      }
+    }
+  }
+  for (const std::string& name : kept) {
+    FinishCleanStop(name, true, aNow);
+  }
+  for (const std::string& name : lost) {
+    FinishCleanStop(name, false, aNow);
+  }
+}
+
+void
+shard_owner::FinishCleanStop(const std::string& aName, bool aKept, instant aNow)
+{
+  worker_row& row = mWorkers[aName];
   wire::lease_release_msg release;
   release.shard = mOptions.mShard;
   release.epoch = mEpoch;
-  mNetwork.Send(aRow.mPeer, MakeMessage(std::move(release)));
-  ForgetRecordsAt(aRow.mIdentity.mName);
-  mEvents.Emit(event_code::WorkerLeft, { { "worker", aRow.mIdentity.mName } });
-  mAbsent[aRow.mIdentity.mName] = { aRow.mTraits, aNow };
-  RemoveWorker(std::string(aRow.mIdentity.mName));
+  release.records_kept = aKept;
+  mNetwork.Send(row.mPeer, MakeMessage(std::move(release)));
+  if (!aKept) {
+    // It was the only one: should this owner fail, nobody can tell what ran
+    // there, and the next owner must know that.
+    mRosterGone.push_back({ aName, row.mIdentity.mIncarnation, aNow });
+  }
+  ForgetRecordsAt(aName);
+  mEvents.Emit(event_code::WorkerLeft,
+               { { "worker", aName }, { "kept", aKept ? "true" : "false" } });
+  mAbsent[aName] = { row.mTraits, aNow };
+  RemoveWorker(aName);
 }
 
 void
@@ -529,13 +671,46 @@
 shard_owner::Roster() const
 {
   std::vector<known_worker> roster = mRosterGone;
-  roster.insert(roster.end(), mMissing.begin(), mMissing.end());
+  for (const known_worker& missing : mMissing) {
+    if (missing.mName != kUnlistedWorker) {
+      roster.push_back(missing);
+    }
+  }
   for (const auto& [name, row] : mWorkers) {
     roster.push_back({ name, row.mIdentity.mIncarnation, row.mLastHeard });
   }
   return roster;
 }
 
+void
+shard_owner::OnRosterRead(const std::vector<known_worker>& aListed,
+                          instant aNow)
+{
+  auto unlisted = std::find_if(
+    mMissing.begin(), mMissing.end(), [](const known_worker& aOne) {
+      return aOne.mName == kUnlistedWorker;
+    });
+  if (unlisted == mMissing.end()) {
+    return;
+  }
+  mMissing.erase(unlisted);
+  for (const known_worker& listed : aListed) {
+    auto present = mWorkers.find(listed.mName);
+    bool reported =
+      present != mWorkers.end() && present->second.mRecordsIn &&
+      present->second.mIdentity.mIncarnation == listed.mIncarnation;
+    bool known = std::any_of(
+      mMissing.begin(), mMissing.end(), [&](const known_worker& aOne) {
+        return aOne.mName == listed.mName &&
+               aOne.mIncarnation == listed.mIncarnation;
+      });
+    if (!reported && !known) {
+      mMissing.push_back(listed);
+    }
+  }
+  CheckComplete(aNow);
+}
+
 void
 shard_owner::OnRosterStored(uint64_t aVersion)
 {
@@ -576,9 +751,13 @@
       mInherited.clear();
     }
   }
+  if (mSuperseded) {
+    return; // until the entry has taken the jobs back
+  }
   ReleaseHeld(aNow);
   ExpireDeadlines(aNow);
   Schedule(aNow);
+  SendAbandoned();
   for (auto& [name, row] : mWorkers) {
     Flush(row, aNow);
   }
@@ -606,6 +785,11 @@
   if (!aPart.last) {
     return;
   }
+  if (aPart.epoch + 1 != mEpoch || mEverLeased) {
+    // The sender is not this owner's predecessor: it was stopped for a while,
+    // and does not know what was started by those who came in between.
+    return;
+  }
   // The previous owner knew all starts; only what it lists is still missing.
   mMissing.clear();
   for (const wire::listed_worker_msg& listed : aPart.workers) {
--- a/cactusmast/shard_owner.h
+++ b/cactusmast/shard_owner.h
@@ -76,6 +76,8 @@
   bool mSettleBeforeRetry = true;
   bool mLeaseMargin = true;
   bool mDeduplicateJobs = true;
+  bool mStepDownWhenSuperseded = true;
+  bool mRecordAbandoned = true;
 };
 
 // A worker incarnation that may hold records of this shard.
@@ -88,6 +90,10 @@
   instant mLastAlive{};
 };
 
+// Stands for workers that a new process cannot know of while the table is
+// away.
+constexpr char kUnlistedWorker[] = "(unlisted)";
+
 // Receives the owner's answers to waiters.
 class answer_sink
 {
@@ -110,6 +116,7 @@
   uint64_t mSettleMessages = 0;
   uint64_t mCancelMessages = 0;
   uint64_t mFetchMessages = 0;
+  uint64_t mAbandonMessages = 0;
   uint64_t mLeaseMessages = 0;
   uint64_t mJobsAccepted = 0;
   uint64_t mJobsRefused = 0;
@@ -182,6 +189,10 @@
 
   bool Complete() const { return mMissing.empty(); }
   uint64_t Epoch() const { return mEpoch; }
+  // A guard was leased to another owner after this one began. That owner may
+  // have started tasks that stand as queued here, so this one must give up
+  // and, if it is to own the shard again, begin anew from the records.
+  bool Superseded() const { return mSuperseded; }
   uint32_t LeasedWorkers(instant aNow) const;
   const owner_counters& Counters() const { return mCounters; }
   dispatcher& Dispatcher() { return mDispatcher; }
@@ -194,6 +205,9 @@
   // The roster row of aVersion is stored, or cannot be stored at present:
   // workers in it may be given work.
   void OnRosterStored(uint64_t aVersion);
+  // The stored roster could be read only after the claim: it replaces the
+  // placeholder for workers that nobody could name.
+  void OnRosterRead(const std::vector<known_worker>& aListed, instant aNow);
 
   struct worker_status
   {
@@ -234,6 +248,10 @@
     bool mRecordsIn = false;
     bool mDraining = false;
     uint64_t mRosterVersion = 0; // the first that lists it
+    // Of a clean stop under way: the guards that were sent copies of its
+    // records, and the sequence whose confirmation shows that they have them.
+    std::map<std::string, uint64_t> mAwaitedCopies;
+    bool mStopping = false;
     instant mLeaseEnd{};
     instant mLastRequest{};
     instant mLastHeard{};
@@ -280,6 +298,12 @@
   void LoseWorker(worker_row& aRow, instant aNow);
   void RemoveWorker(const std::string& aName);
   void OnCleanStop(worker_row& aRow, instant aNow);
+  void FinishCleanStop(const std::string& aName, bool aKept, instant aNow);
+  // The guard called aCopier confirmed aSequence, or (0) will not.
+  void OnCopyConfirmed(const std::string& aCopier,
+                       uint64_t aSequence,
+                       instant aNow);
+  std::vector<std::string> Copiers(const worker_row& aFrom) const;
   void ForgetRecordsAt(const std::string& aWorker);
   void CheckComplete(instant aNow);
 
@@ -309,6 +333,10 @@
   void CheckSatisfiable(uint32_t aLane, instant aNow);
   bool RestoreTasks(job_handle aJob, instant aNow);
   void RestoreTask(job_handle aJob, const recovered_task& aTask, instant aNow);
+  void FetchRestored(job_handle aJob);
+  bool MergeRecord(const wire::record_summary& aRecord,
+                   const worker_row& aFrom,
+                   instant aNow);
   void MakeRoom(uint32_t aLane,
                 uint32_t aPriority,
                 uint32_t aCount,
@@ -322,6 +350,8 @@
   // Whether aId was refused as in doubt and that doubt was never resolved.
   bool IsDoubtful(const job_id& aId) const;
   void SettleDoubtful(job_handle aJob, instant aNow);
+  void NoteAbandoned(const job_row& aRow);
+  void SendAbandoned();
   void ExpireWaiters(instant aNow);
   void ExpireDeadlines(instant aNow);
   void FailUnsatisfiable(instant aNow);
@@ -353,8 +383,12 @@
   std::unordered_map<peer_id, std::string> mWorkerByPeer;
   // What workers that are absent could do, so that a job for them waits.
   std::map<std::string, std::pair<worker_traits, instant>> mAbsent;
+  // At the claim, and those of them that have not reported yet.
+  std::vector<known_worker> mInitialKnown;
   std::vector<known_worker> mMissing;
   std::vector<known_worker> mRosterGone; // lost under this owner
+  bool mEverLeased = false;
+  bool mSuperseded = false;
   bool mDoubtReported = false;
   // Keys that were refused as in doubt, and when last. If the missing workers
   // report, they are forgotten; if the workers are given up, these keys can
@@ -366,6 +400,9 @@
   std::unordered_map<job_id, wire::decided_job_msg, job_id_hash> mInherited;
   std::deque<held_submission> mHeld;
   std::multimap<instant, std::pair<job_handle, uint64_t>> mWaiterEnds;
+  // Decided with tasks that never started; told to two guards with the next
+  // tick.
+  std::vector<task_ref> mAbandoned;
   std::vector<job_handle> mUnsatisfiable; // waiting to be told so
   uint64_t mRosterVersion = 1;
   uint64_t mStoredRoster = 0;
--- a/cactusmast/shard_owner_jobs.cc
+++ b/cactusmast/shard_owner_jobs.cc
@@ -319,8 +319,17 @@
   if (recovered != mRecovered.end()) {
     std::vector<recovered_task> tasks = std::move(recovered->second);
     mRecovered.erase(recovered);
+    bool abandoned = false;
     for (const recovered_task& task : tasks) {
-      RestoreTask(aJob, task, aNow);
+      if (task.mState == record_state::Abandoned) {
+        abandoned = true;
+      } else {
+        RestoreTask(aJob, task, aNow);
+      }
+    }
+    FetchRestored(aJob);
+    if (abandoned) {
+      SettleQueued(aJob, task_reason::Cancelled, aNow);
     }
   }
   return mJobs.At(aJob).mState != job_state::Running;
@@ -346,16 +355,28 @@
                aNow);
     return;
   }
-  // Its result is on the way, or is asked for here.
   row.mTasks[aTask.mIndex].mState = task_state::Dispatched;
   task_ref ref = RefOf(row.mSubmission.mId, aTask.mIndex);
-  worker_row& holder = worker->second;
-  holder.mRestored[ref] = aJob;
-  if (aTask.mState == record_state::Finished && holder.mPeer != 0) {
+  worker->second.mRestored[ref] = aJob;
+}
+
+// Asks the guards for the results of the job's restored tasks. A result may
+// have come before the job did, and was not kept then; the guard sends it
+// again, or when the task ends.
+void
+shard_owner::FetchRestored(job_handle aJob)
+{
+  for (auto& [name, row] : mWorkers) {
     wire::fetch_msg ask;
-    ask.refs.push_back(ref);
-    mCounters.mFetchMessages++;
-    mNetwork.Send(holder.mPeer, MakeMessage(std::move(ask)));
+    for (const auto& [ref, job] : row.mRestored) {
+      if (job == aJob) {
+        ask.refs.push_back(ref);
+      }
+    }
+    if (!ask.refs.empty() && row.mPeer != 0) {
+      mCounters.mFetchMessages++;
+      mNetwork.Send(row.mPeer, MakeMessage(std::move(ask)));
+    }
   }
 }
 
@@ -375,6 +396,7 @@
   job_row& row = mJobs.At(aJob);
   bool complete = row.mState == job_state::Complete;
   (complete ? mCounters.mJobsComplete : mCounters.mJobsFailed)++;
+  NoteAbandoned(row);
   mEvents.Emit(event_code::JobDecided,
                { { "job", row.mSubmission.mId.Text() },
                  { "state", std::string(Name(row.mState)) } });
--- /dev/null
+++ b/cactusmast/testing/history_test.cc
@@ -0,0 +1,204 @@
+// The checker is only worth what it can find: one history for each way to
+// break a promise, and one that breaks none.
+
+#include <doctest/doctest.h>
+#include <functional>
+
+#include "cactusmast/testing/history.h"
+
+namespace cactusmast::testing {
+namespace {
+
+using std::chrono::seconds;
+
+history_event
+Event(int aSeconds, event_kind aKind)
+{
+  history_event event;
+  event.mTime = seconds(aSeconds);
+  event.mKind = aKind;
+  return event;
+}
+
+history_event
+Submit(int aSeconds,
+       uint64_t aRequest,
+       const std::string& aKey,
+       uint32_t aCount)
+{
+  history_event event = Event(aSeconds, event_kind::Submit);
+  event.mRequest = aRequest;
+  event.mKey = aKey;
+  event.mCount = aCount;
+  return event;
+}
+
+history_event
+Start(int aSeconds, const std::string& aKey, uint32_t aIndex)
+{
+  history_event event = Event(aSeconds, event_kind::Start);
+  event.mProcess = "backend-1";
+  event.mKey = aKey;
+  event.mIndex = aIndex;
+  return event;
+}
+
+history_event
+Answer(int aSeconds,
+       uint64_t aRequest,
+       const std::string& aKey,
+       uint32_t aCount)
+{
+  history_event event = Event(aSeconds, event_kind::Answer);
+  event.mRequest = aRequest;
+  event.mKey = aKey;
+  event.mText = "complete";
+  for (uint32_t i = 0; i < aCount; i++) {
+    event.mTasks.push_back({ "succeeded", "run", ExpectedOutput(aKey, i) });
+  }
+  return event;
+}
+
+history_event
+Process(int aSeconds,
+        event_kind aKind,
+        const char* aName,
+        uint64_t aVersion = 0)
+{
+  history_event event = Event(aSeconds, aKind);
+  event.mProcess = aName;
+  event.mVersion = aVersion;
+  return event;
+}
+
+// A run in which everything is as promised.
+history
+GoodHistory()
+{
+  return { Process(0, event_kind::Started, "entry-1"),
+           Process(0, event_kind::InForce, "entry-1", 1),
+           Submit(1, 1, "a", 2),
+           Start(2, "a", 0),
+           Start(2, "a", 1),
+           Answer(3, 1, "a", 2),
+           Process(4, event_kind::Accepted, "", 2),
+           Process(5, event_kind::InForce, "entry-1", 2),
+           Process(6, event_kind::PlannedStop, "entry-1"),
+           Process(7, event_kind::Stopped, "entry-1") };
+}
+
+struct broken_case
+{
+  const char* mName;
+  promise mPromise;
+  std::function<void(history&)> mBreak;
+};
+
+const std::vector<broken_case>&
+BrokenCases()
+{
+  static const std::vector<broken_case> kCases = {
+    { "a task starts twice",
+      promise::StartsAtMostOnce,
+      [](history& aRun) { aRun.insert(aRun.begin() + 5, Start(3, "a", 1)); } },
+    { "a non-idempotent task starts twice",
+      promise::NonIdempotentOnce,
+      [](history& aRun) {
+        aRun[2].mIdempotent = false;
+        aRun.insert(aRun.begin() + 5, Start(3, "a", 1));
+      } },
+    { "an answer lacks a task",
+      promise::WholeAnswer,
+      [](history& aRun) { aRun[5].mTasks.pop_back(); } },
+    { "an answer is complete with a failed task",
+      promise::WholeAnswer,
+      [](history& aRun) {
+        aRun[5].mTasks[0] = { "failed", "run", "" };
+      } },
+    { "a task succeeds without a start",
+      promise::WholeAnswer,
+      [](history& aRun) { aRun.erase(aRun.begin() + 4); } },
+    { "the same job is answered differently",
+      promise::WholeAnswer,
+      [](history& aRun) {
+        aRun.push_back(Submit(8, 2, "a", 2));
+        aRun.push_back(Answer(9, 2, "a", 2));
+        aRun.back().mText = "failed";
+        aRun.back().mTasks[0] = { "failed", "run", "" };
+      } },
+    { "an answer carries another job's output",
+      promise::OwnAnswer,
+      [](history& aRun) {
+        aRun[5].mTasks[0].mOutput = ExpectedOutput("b", 0);
+      } },
+    { "an answer goes to another request",
+      promise::OwnAnswer,
+      [](history& aRun) { aRun[5].mKey = "b"; } },
+    { "a request is answered twice",
+      promise::OwnAnswer,
+      [](history& aRun) { aRun.push_back(Answer(9, 1, "a", 2)); } },
+    { "a request is never answered",
+      promise::OwnAnswer,
+      [](history& aRun) { aRun.erase(aRun.begin() + 5); } },
+    { "a refused request runs",
+      promise::RefusedNotRun,
+      [](history& aRun) {
+        aRun[5].mKind = event_kind::Refuse;
+        aRun[5].mRun = "not_run";
+      } },
+    { "a task that is said not to have run starts",
+      promise::RefusedNotRun,
+      [](history& aRun) {
+        aRun[5].mTasks[0] = { "failed", "not_run", "" };
+        aRun[5].mText = "failed";
+      } },
+    { "a backend server gets work after it left",
+      promise::NothingAfterLeaving,
+      [](history& aRun) {
+        aRun.push_back(Process(8, event_kind::Left, "backend-1"));
+        aRun.push_back(Submit(9, 2, "b", 1));
+        aRun.push_back(Start(12, "b", 0));
+        aRun.push_back(Answer(13, 2, "b", 1));
+      } },
+    { "a planned stop cuts a request off",
+      promise::PlannedStopCutsNothing,
+      [](history& aRun) {
+        aRun[5].mText = "failed";
+        aRun[5].mTasks[0] = { "failed", "unknown", "" };
+      } },
+    { "a process goes back to an older configuration",
+      promise::ConfigurationInForce,
+      [](history& aRun) {
+        aRun.insert(aRun.begin() + 8,
+                    Process(6, event_kind::InForce, "entry-1", 1));
+      } },
+    { "a configuration is not in force in time",
+      promise::ConfigurationInForce,
+      [](history& aRun) {
+        aRun[7].mTime = aRun[8].mTime = aRun[9].mTime = seconds(20);
+      } },
+  };
+  return kCases;
+}
+
+} // namespace
+
+TEST_CASE("the checker finds nothing wrong with a good history")
+{
+  CHECK(Check(GoodHistory(), {}).empty());
+}
+
+TEST_CASE("the checker finds every broken promise")
+{
+  for (const broken_case& broken : BrokenCases()) {
+    history run = GoodHistory();
+    broken.mBreak(run);
+    bool found = false;
+    for (const violation& one : Check(run, {})) {
+      found = found || one.mPromise == broken.mPromise;
+    }
+    CHECK_MESSAGE(found, std::string(broken.mName));
+  }
+}
+
+} // namespace cactusmast::testing
--- /dev/null
+++ b/cactusmast/testing/settings_test.cc
@@ -0,0 +1,160 @@
+// Settings and profiles: what is accepted, and how mistakes are reported.
+
+#include <doctest/doctest.h>
+#include <random>
+
+#include "cactusmast/api_json.h"
+#include "cactusmast/profile.h"
+#include "cactusmast/settings.h"
+
+namespace cactusmast::testing {
+namespace {
+
+const std::string kGoodEntry = R"(role: entry
+name: entry-1
+listen: 127.0.0.1:7001
+http: 127.0.0.1:7002
+data_center: leicester
+table_url: http://127.0.0.1:7000
+shared_key: something-secret
+)";
+
+struct bad_settings
+{
+  std::string mText;
+  std::string mExpected; // part of the message
+};
+
+} // namespace
+
+TEST_CASE("good settings are read with their defaults")
+{
+  entry_settings settings = ReadEntrySettings(kGoodEntry, "e.yaml").Value();
+  CHECK(settings.mProcess.mName == "entry-1");
+  CHECK(settings.mProcess.mDrainTimeoutMs == 30000);
+  CHECK(CheckSettings(kGoodEntry, "e.yaml").Value() == "entry");
+}
+
+TEST_CASE("mistakes in settings name file, line, key and what is allowed")
+{
+  const bad_settings kCases[] = {
+    { kGoodEntry + "retention: 5\n", "e.yaml:8: retention is not a known key" },
+    { kGoodEntry + "retention_ms: 5\n",
+      "e.yaml:8: retention_ms must be a whole number from 1000" },
+    { kGoodEntry + "retention_ms: soon\n", "must be a whole number" },
+    { kGoodEntry + "name: again\n", "e.yaml:8: name stands twice" },
+    { kGoodEntry + "seed_entries: [somewhere:80]\n", "must be an IP number" },
+    { kGoodEntry + "operator_tokens: { alice: short }\n", "16 characters" },
+    { "role: entry\nname: x\n", "listen is missing" },
+    { "role: [\n", "e.yaml:" },
+    { "just text", "must be a mapping" },
+  };
+  for (const bad_settings& bad : kCases) {
+    result<entry_settings> read = ReadEntrySettings(bad.mText, "e.yaml");
+    REQUIRE(!read.Ok());
+    std::string text = read.Error().what();
+    CHECK_MESSAGE(text.find(bad.mExpected) != std::string::npos, text);
+  }
+}
+
+TEST_CASE("mistakes in profiles name the key and the range")
+{
+  const bad_settings kCases[] = {
+    { R"({"name":"a","service":"s","deadline":5})", "unknown key deadline" },
+    { R"({"name":"a","service":"s","priority":10})", "from 0 to 9" },
+    { R"({"name":"a","service":"s","priority":-1})", "from 0 to 9" },
+    { R"({"name":"a","service":"s","idempotent":"yes"})", "true or false" },
+    { R"({"name":"a","service":"s","preference":"fast"})",
+      "response_time, messages" },
+    { R"({"name":"a b","service":"s"})", "letters, digits" },
+    { R"({"name":"a"})", "service is missing" },
+    { R"({"name":"a","name":"b","service":"s"})", "stands twice" },
+    { R"([])", "must be an object" },
+    { R"({)", "parse error" },
+  };
+  for (const bad_settings& bad : kCases) {
+    result<profile> read = ParseProfile(bad.mText);
+    REQUIRE(!read.Ok());
+    std::string text = read.Error().what();
+    CHECK_MESSAGE(text.find(bad.mExpected) != std::string::npos, text);
+  }
+}
+
+TEST_CASE("a profile and a document survive being written and read")
+{
+  profile made;
+  made.mName = "quote";
+  made.mService = "ordering";
+  made.mPreference = cost_preference::Messages;
+  made.mShedding = shedding_order::LowestPriority;
+  made.mDeadlineMs = 1234;
+  made.mRevision = 5;
+  CHECK(SerializeProfile(ParseProfile(SerializeProfile(made)).Value()) ==
+        SerializeProfile(made));
+  deployment_config config;
+  config.mVersion = 9;
+  config.mProfiles["quote"] = made;
+  config.mTeams["builders"] = team{ "builders", 3, 100 };
+  std::string text = config.Serialize();
+  CHECK(deployment_config::Parse(text).Value().Serialize() == text);
+}
+
+TEST_CASE("a document from a newer version is readable")
+{
+  // An older process reads what a newer one wrote during a rolling
+  // replacement. Fields it does not know must not make it fail.
+  std::string text = R"({"version":4,"shard_count":1,"new":true,"profiles":
+    [{"name":"quote","service":"ordering","colour":"red"}]})";
+  deployment_config config = deployment_config::Parse(text).Value();
+  CHECK(config.mProfiles.count("quote") == 1);
+}
+
+TEST_CASE("bad submissions are refused with a reason")
+{
+  const bad_settings kCases[] = {
+    { "", "parse error" },
+    { "[]", "must be an object" },
+    { R"({"profile":"a"})", "at least one task" },
+    { R"({"profile":"a","tasks":[]})", "at least one task" },
+    { R"({"profile":1,"tasks":[1]})", "profile must be text" },
+    { R"({"profile":"a","tasks":[1],"deadline_ms":0})", "deadline_ms" },
+    { R"({"profile":"a","tasks":[1],"deadline_ms":-5})", "deadline_ms" },
+    { R"({"profile":"a","tasks":[1],"more":0})", "unknown key more" },
+    { R"({"profile":"a","profile":"b","tasks":[1]})", "stands twice" },
+    { "{\"profile\":\"a\",\"tasks\":[" + std::string(5000, '[') + "1" +
+        std::string(5000, ']') + "]}",
+      "nested too deeply" },
+  };
+  for (const bad_settings& bad : kCases) {
+    result<submission> read = ParseSubmission(bad.mText, {});
+    REQUIRE(!read.Ok());
+    std::string text = read.Error().what();
+    CHECK_MESSAGE(text.find(bad.mExpected) != std::string::npos, text);
+  }
+}
+
+TEST_CASE("random bytes never break a reader")
+{
+  std::mt19937 random(11);
+  const std::string kSeeds[] = {
+    kGoodEntry,
+    R"({"profile":"a","tasks":[1,"x",{"y":2}],"deadline_ms":5})",
+    R"({"name":"a","service":"s","priority":1})",
+  };
+  for (int i = 0; i < 20000; i++) {
+    std::string text = kSeeds[random() % 3];
+    for (int edits = 1 + int(random() % 5); edits > 0; edits--) {
+      text[random() % text.size()] = char(random());
+    }
+    // Each ends with a value or an error; anything else is caught by the
+    // sanitizers or ends the test run.
+    ReadEntrySettings(text, "f");
+    ReadGuardSettings(text, "f");
+    ParseSubmission(text, {});
+    ParseProfile(text);
+    ParseTeam(text);
+    deployment_config::Parse(text);
+  }
+}
+
+} // namespace cactusmast::testing
--- a/cactusmast/testing/world.cc
+++ b/cactusmast/testing/world.cc
@@ -629,6 +629,18 @@
 world::Record(history_event aEvent)
 {
   aEvent.mTime = mNow;
+  if (std::getenv("CACTUSMAST_TRACE") != nullptr) {
+    std::fprintf(stderr,
+                 "%lld history kind=%d %s key=%s.%u request=%llu %s %s\n",
+                 static_cast<long long>(mNow.count() / 1000),
+                 int(aEvent.mKind),
+                 aEvent.mProcess.c_str(),
+                 aEvent.mKey.c_str(),
+                 aEvent.mIndex,
+                 static_cast<unsigned long long>(aEvent.mRequest),
+                 aEvent.mText.c_str(),
+                 aEvent.mRun.c_str());
+  }
   mHistory.push_back(std::move(aEvent));
 }
 
@@ -715,7 +727,9 @@
   server.mServices = { "ordering" };
   server.mSlots = aBeside.mServer.mSlots;
   server.mAccelerators = aBeside.mServer.mAccelerators;
-  aBeside.mGuard->Announce(server, mNow);
+  if (!aBeside.mGuard->Draining()) {
+    aBeside.mGuard->Announce(server, mNow);
+  }
 }
 
 bool
@@ -805,6 +819,11 @@
 world::Restart(const std::string& aName)
 {
   process& again = Find(aName);
+  if (again.mAlive && again.mDraining) {
+    // The replacement starts when the old process has exited.
+    At(mNow + milliseconds(500), [this, aName] { Restart(aName); });
+    return;
+  }
   if (again.mAlive) {
     return;
   }
@@ -829,7 +848,7 @@
 world::Resume(const std::string& aName)
 {
   process& woken = Find(aName);
-  if (!woken.mPaused) {
+  if (!woken.mPaused || !woken.mAlive) {
     return;
   }
   woken.mPaused = false;
@@ -1072,7 +1091,8 @@
   for (const auto& [id, request] : mRequests) {
     attempts += request.mRequest.mKey == again.mKey ? 1 : 0;
   }
-  if (!again.mPersistent || attempts >= kMaxAttempts) {
+  bool over = mNow >= mOptions.mRetryUntil;
+  if (!again.mPersistent || attempts >= kMaxAttempts || over) {
     return;
   }
   At(mNow + std::max<duration>(kMinRetry, aAfter), [this, again] {
--- a/cactusmast/testing/world.h
+++ b/cactusmast/testing/world.h
@@ -29,6 +29,8 @@
   duration mLatency = std::chrono::microseconds(500);
   duration mTick = std::chrono::milliseconds(20);
   duration mRetention = std::chrono::minutes(5);
+  // Callers do not come back after this time.
+  instant mRetryUntil = instant::max();
   entry_safeguards mEntrySafeguards;
   guard_safeguards mGuardSafeguards;
   health_options mHealth;
