--- /dev/null
+++ b/bench/runner_model.cc
@@ -0,0 +1,597 @@
+#include "bench/runner_model.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <limits>
+#include <map>
+#include <queue>
+#include <random>
+
+#include "cactusmast/dispatcher.h"
+
+namespace cactusmast::bench {
+namespace {
+
+struct profile_shape
+{
+  double mMeanRun; // on a runner of mean speed
+  double mShare;
+};
+
+// Most tasks last from 50 ms to a second, and a few take several seconds.
+constexpr profile_shape kShapes[] = { { 0.08, 0.40 },
+                                      { 0.2, 0.35 },
+                                      { 0.6, 0.20 },
+                                      { 2.5, 0.05 } };
+constexpr double kSpread = 0.5; // coefficient of variation of one profile
+constexpr double kMinRun = 0.05;
+constexpr double kTick = 0.01;
+constexpr double kStaleness = 0.1;
+
+double
+MeanSpeed(const model_options& aOptions)
+{
+  return (aOptions.mMinSpeed + aOptions.mMaxSpeed) / 2;
+}
+
+uint32_t
+JobSize(std::mt19937_64& aRandom, bool aSingle)
+{
+  uint64_t roll = aRandom() % 100;
+  if (aSingle || roll < 70) {
+    return 1;
+  }
+  return roll < 90 ? 4 : 20;
+}
+
+duration
+ToDuration(double aSeconds)
+{
+  return duration(int64_t(aSeconds * 1e6));
+}
+
+struct timed_event
+{
+  double mTime;
+  uint64_t mOrder;
+  uint32_t mKind;
+  uint32_t mTask;
+
+  bool operator>(const timed_event& aOther) const
+  {
+    return mTime != aOther.mTime ? mTime > aOther.mTime
+                                 : mOrder > aOther.mOrder;
+  }
+};
+
+using event_queue = std::priority_queue<timed_event,
+                                        std::vector<timed_event>,
+                                        std::greater<timed_event>>;
+
+class model_run
+{
+public:
+  model_run(const model_options& aOptions, const workload& aWorkload)
+    : mOptions(aOptions)
+    , mWorkload(aWorkload)
+  {
+    mResult.mTasks.resize(aWorkload.mTasks.size());
+    double fastest =
+      *std::max_element(aWorkload.mSpeeds.begin(), aWorkload.mSpeeds.end());
+    for (size_t i = 0; i < aWorkload.mTasks.size(); i++) {
+      mResult.mTasks[i].mIdeal =
+        aWorkload.mTasks[i].mWork / fastest + RoundTrip();
+    }
+  }
+
+  virtual ~model_run() = default;
+
+  run_result Run()
+  {
+    for (uint32_t i = 0; i < mWorkload.mTasks.size(); i++) {
+      Push(mWorkload.mTasks[i].mArrival + mOptions.mClientLatency, kArrive, i);
+    }
+    Start();
+    while (!mEvents.empty()) {
+      timed_event next = mEvents.top();
+      mEvents.pop();
+      mNow = next.mTime;
+      On(next.mKind, next.mTask);
+    }
+    return std::move(mResult);
+  }
+
+protected:
+  enum : uint32_t
+  {
+    kArrive,
+    kReach, // the runner
+    kEnd,
+    kLearn, // the dispatcher hears of the end
+    kTickEvent
+  };
+
+  virtual void Start() {}
+  virtual void On(uint32_t aKind, uint32_t aTask) = 0;
+
+  double RoundTrip() const
+  {
+    return 2 * mOptions.mClientLatency + 2 * mOptions.mLatency;
+  }
+
+  void Push(double aTime, uint32_t aKind, uint32_t aTask)
+  {
+    mEvents.push({ aTime, mOrder++, aKind, aTask });
+  }
+
+  bool Fails(uint32_t aRunner) const
+  {
+    return aRunner == 0 && mOptions.mFailFrom >= 0 &&
+           mNow >= mOptions.mFailFrom;
+  }
+
+  // It has left, or nobody who knew would use it.
+  bool IsOut(uint32_t aRunner) const
+  {
+    bool left =
+      aRunner == 0 && mOptions.mLeaveFrom >= 0 && mNow >= mOptions.mLeaveFrom;
+    return left || Fails(aRunner);
+  }
+
+  double RunTime(uint32_t aTask, uint32_t aRunner) const
+  {
+    return Fails(aRunner)
+             ? 0.001
+             : mWorkload.mTasks[aTask].mWork / mWorkload.mSpeeds[aRunner];
+  }
+
+  // Records an end on aRunner and the answer's way back.
+  void Finish(uint32_t aTask, uint32_t aRunner, double aWayBack)
+  {
+    task_outcome_row& row = mResult.mTasks[aTask];
+    row.mDone = true;
+    row.mRunner = aRunner;
+    row.mEnd = mNow + aWayBack;
+    row.mResponse = row.mEnd - mWorkload.mTasks[aTask].mArrival;
+  }
+
+  const model_options& mOptions;
+  const workload& mWorkload;
+  run_result mResult;
+  double mNow = 0;
+
+private:
+  event_queue mEvents;
+  uint64_t mOrder = 0;
+};
+
+// Exact run times and speeds, one queue, and no delays but the network's. At
+// every arrival and end the whole queue is planned anew: each task in turn
+// takes the slot on which it ends first, and starts if that slot is free. The
+// turn is by arrival or by length; the better of the two stands for what a
+// clairvoyant scheduler can reach.
+class bound_run : public model_run
+{
+public:
+  bound_run(const model_options& aOptions,
+            const workload& aWorkload,
+            bool aShortestFirst)
+    : model_run(aOptions, aWorkload)
+    , mShortestFirst(aShortestFirst)
+    , mFreeAt(aOptions.mRunners, std::vector<double>(aOptions.mSlots, 0.0))
+  {
+  }
+
+protected:
+  void On(uint32_t aKind, uint32_t aTask) override
+  {
+    if (aKind == kArrive) {
+      double rank = mShortestFirst ? mWorkload.mTasks[aTask].mWork : mNow;
+      mQueue.emplace(rank, aTask);
+    }
+    Plan();
+  }
+
+private:
+  struct slot_choice
+  {
+    uint32_t mRunner = 0;
+    size_t mSlot = 0;
+    double mStart = 0;
+    double mEnd = std::numeric_limits<double>::infinity();
+  };
+
+  slot_choice FirstEnd(const std::vector<std::vector<double>>& aFreeAt,
+                       uint32_t aTask) const
+  {
+    slot_choice best;
+    for (uint32_t runner = 0; runner < aFreeAt.size(); runner++) {
+      if (IsOut(runner)) {
+        continue;
+      }
+      const std::vector<double>& slots = aFreeAt[runner];
+      auto slot = std::min_element(slots.begin(), slots.end());
+      double start = std::max(mNow, *slot);
+      double end =
+        start + mWorkload.mTasks[aTask].mWork / mWorkload.mSpeeds[runner];
+      if (end < best.mEnd) {
+        best = { runner, size_t(slot - slots.begin()), start, end };
+      }
+    }
+    return best;
+  }
+
+  void Plan()
+  {
+    // Beyond this the plan cannot reach a slot that is free now.
+    constexpr int kHorizon = 400;
+    std::vector<std::vector<double>> planned = mFreeAt;
+    int looked = 0;
+    for (auto entry = mQueue.begin();
+         entry != mQueue.end() && looked < kHorizon;
+         looked++) {
+      uint32_t task = entry->second;
+      slot_choice chosen = FirstEnd(planned, task);
+      planned[chosen.mRunner][chosen.mSlot] = chosen.mEnd;
+      if (chosen.mStart > mNow) {
+        ++entry;
+        continue;
+      }
+      mFreeAt[chosen.mRunner][chosen.mSlot] = chosen.mEnd;
+      Begin(task, chosen);
+      entry = mQueue.erase(entry);
+    }
+  }
+
+  void Begin(uint32_t aTask, const slot_choice& aChosen)
+  {
+    task_outcome_row& row = mResult.mTasks[aTask];
+    row.mStart = mNow;
+    row.mRun = aChosen.mEnd - mNow;
+    row.mDone = true;
+    row.mRunner = aChosen.mRunner;
+    row.mEnd = aChosen.mEnd + 2 * mOptions.mLatency + mOptions.mClientLatency;
+    row.mResponse = row.mEnd - mWorkload.mTasks[aTask].mArrival;
+    Push(aChosen.mEnd, kEnd, aTask);
+  }
+
+  bool mShortestFirst;
+  std::vector<std::vector<double>> mFreeAt;
+  std::multimap<double, uint32_t> mQueue;
+};
+
+// Entries push each task to a runner, which queues it.
+class push_run : public model_run
+{
+public:
+  push_run(const model_options& aOptions,
+           const workload& aWorkload,
+           policy aPolicy)
+    : model_run(aOptions, aWorkload)
+    , mPolicy(aPolicy)
+    , mRandom(aOptions.mSeed * 77 + 5)
+    , mQueues(aOptions.mRunners)
+    , mBusy(aOptions.mRunners)
+    , mStale(aOptions.mRunners)
+    , mTarget(aWorkload.mTasks.size())
+  {
+  }
+
+protected:
+  void On(uint32_t aKind, uint32_t aTask) override
+  {
+    if (aKind == kArrive) {
+      double delay = mOptions.mLatency;
+      mTarget[aTask] = Choose(&delay);
+      mResult.mMessages += 2;
+      Push(mNow + delay, kReach, aTask);
+    } else if (aKind == kReach) {
+      mQueues[mTarget[aTask]].push_back(aTask);
+      Serve(mTarget[aTask]);
+    } else {
+      uint32_t runner = mTarget[aTask];
+      mBusy[runner]--;
+      Finish(aTask, runner, mOptions.mLatency + mOptions.mClientLatency);
+      Serve(runner);
+    }
+  }
+
+private:
+  size_t Length(uint32_t aRunner) const
+  {
+    return mQueues[aRunner].size() + mBusy[aRunner];
+  }
+
+  uint32_t Choose(double* aDelay)
+  {
+    uint32_t count = mOptions.mRunners;
+    switch (mPolicy) {
+      case policy::RoundRobin:
+        return mNext++ % count;
+      case policy::TwoChoices: {
+        *aDelay += 2 * mOptions.mLatency; // both probes at once
+        mResult.mMessages += 4;
+        mResult.mWasted += 4;
+        auto one = uint32_t(mRandom() % count);
+        auto two = uint32_t(mRandom() % count);
+        return Length(one) <= Length(two) ? one : two;
+      }
+      case policy::StaleShortest: {
+        if (mNow >= mNextRefresh) {
+          mNextRefresh = mNow + kStaleness;
+          mResult.mMessages += count * mOptions.mEntries;
+          mResult.mWasted += count * mOptions.mEntries;
+          for (uint32_t i = 0; i < count; i++) {
+            mStale[i] = double(Length(i)) / mWorkload.mSpeeds[i];
+          }
+        }
+        auto least = std::min_element(mStale.begin(), mStale.end());
+        auto chosen = uint32_t(least - mStale.begin());
+        *least += 1 / mWorkload.mSpeeds[chosen]; // its own choices count
+        return chosen;
+      }
+      default:
+        return uint32_t(mRandom() % count);
+    }
+  }
+
+  void Serve(uint32_t aRunner)
+  {
+    while (mBusy[aRunner] < mOptions.mSlots && !mQueues[aRunner].empty()) {
+      uint32_t task = mQueues[aRunner].front();
+      mQueues[aRunner].pop_front();
+      mBusy[aRunner]++;
+      task_outcome_row& row = mResult.mTasks[task];
+      row.mStart = mNow;
+      row.mRun = RunTime(task, aRunner);
+      row.mFailed = Fails(aRunner);
+      Push(mNow + row.mRun, kEnd, task);
+    }
+  }
+
+  policy mPolicy;
+  std::mt19937_64 mRandom;
+  std::vector<std::deque<uint32_t>> mQueues;
+  std::vector<uint32_t> mBusy;
+  std::vector<double> mStale;
+  std::vector<uint32_t> mTarget;
+  uint32_t mNext = 0;
+  double mNextRefresh = 0;
+};
+
+// The library's dispatcher, as the owner of the shard uses it.
+class library_run : public model_run
+{
+public:
+  library_run(const model_options& aOptions,
+              const workload& aWorkload,
+              bool aHold)
+    : model_run(aOptions, aWorkload)
+    , mDispatcher(Options(aHold))
+    , mRandom(aOptions.mSeed + 3)
+    , mStarted(aWorkload.mTasks.size())
+    , mPending(aWorkload.mJobs)
+  {
+  }
+
+protected:
+  void Start() override
+  {
+    for (uint32_t i = 0; i < std::size(kShapes); i++) {
+      profile made;
+      made.mName = "profile-" + std::to_string(i);
+      made.mService = "service";
+      made.mQueueLimit = 1000000;
+      made.mMaxWaitMs = uint32_t(mOptions.mMaxWait * 1000);
+      mDispatcher.SetLane(made);
+    }
+    for (uint32_t i = 0; i < mOptions.mTeams; i++) {
+      team made;
+      made.mName = "team-" + std::to_string(i);
+      made.mQuota = mOptions.mTeamsEqual ? 1 : 1 + i % 4;
+      made.mQueueLimit = 10000000;
+      mDispatcher.SetTeam(made);
+    }
+    worker_traits traits;
+    traits.mServices = { "service" };
+    traits.mSlots = mOptions.mSlots;
+    traits.mLatency = ToDuration(2 * mOptions.mLatency);
+    for (uint32_t i = 0; i < mOptions.mRunners; i++) {
+      mDispatcher.SetAccepting(mDispatcher.AddWorker(traits), true);
+    }
+    double end = mWorkload.mTasks.back().mArrival + 600;
+    Push(kTick, kTickEvent, 0);
+    mLastTick = end;
+  }
+
+  void On(uint32_t aKind, uint32_t aTask) override
+  {
+    switch (aKind) {
+      case kArrive:
+        Arrive(aTask);
+        break;
+      case kReach: {
+        task_outcome_row& row = mResult.mTasks[aTask];
+        row.mStart = mNow;
+        row.mRun = RunTime(aTask, row.mRunner);
+        row.mFailed = Fails(row.mRunner);
+        Push(mNow + row.mRun, kEnd, aTask);
+        return;
+      }
+      case kEnd:
+        mResult.mMessages++;
+        Finish(aTask,
+               mResult.mTasks[aTask].mRunner,
+               mOptions.mLatency + Hop(aTask) + mOptions.mClientLatency);
+        Push(mNow + mOptions.mLatency, kLearn, aTask);
+        return;
+      case kLearn:
+        Learn(aTask);
+        break;
+      default:
+        if (IsOut(0) && mOptions.mLeaveFrom >= 0) {
+          mDispatcher.SetAccepting(0, false);
+        }
+        if (mNow < mLastTick) {
+          Push(mNow + kTick, kTickEvent, 0);
+        }
+        break;
+    }
+    Dispatch();
+  }
+
+private:
+  static dispatcher_options Options(bool aHold)
+  {
+    dispatcher_options options;
+    options.mHoldForFaster = aHold;
+    return options;
+  }
+
+  // Two of three requests reach an entry that does not own the shard.
+  double Hop(uint32_t aTask) const
+  {
+    bool own = mWorkload.mTasks[aTask].mJob % mOptions.mEntries == 0;
+    return own ? 0 : mOptions.mLatency;
+  }
+
+  void Arrive(uint32_t aTask)
+  {
+    // The passed-on ones arrive a little later.
+    if (Hop(aTask) > 0 && !mStarted[aTask].mPassed) {
+      mStarted[aTask].mPassed = true;
+      Push(mNow + mOptions.mLatency, kArrive, aTask);
+      return;
+    }
+    const model_task& task = mWorkload.mTasks[aTask];
+    if (mOptions.mAdmission) {
+      try {
+        mDispatcher.Admit(task.mProfile,
+                          task.mTeam,
+                          1,
+                          ToDuration(mOptions.mDeadline),
+                          std::uniform_real_distribution<>(0, 1)(mRandom));
+      } catch (const failure&) {
+        mResult.mTasks[aTask].mRefused = true;
+        return;
+      }
+    }
+    mPending[task.mJob].push_back(aTask);
+    mDispatcher.Enqueue(
+      task.mJob, task.mProfile, task.mTeam, 1, ToDuration(mNow));
+    mOpen++;
+  }
+
+  void Learn(uint32_t aTask)
+  {
+    const assignment& was = mStarted[aTask].mAssignment;
+    const task_outcome_row& row = mResult.mTasks[aTask];
+    mOpen--;
+    mDispatcher.Finished({ was.mWorker,
+                           was.mLane,
+                           was.mTeam,
+                           was.mExpected,
+                           ToDuration(row.mRun),
+                           row.mFailed },
+                         ToDuration(mNow));
+  }
+
+  void Dispatch()
+  {
+    assignment next;
+    while (mDispatcher.Next(ToDuration(mNow), &next)) {
+      std::deque<uint32_t>& waiting = mPending[next.mJob];
+      uint32_t task = waiting.front();
+      waiting.pop_front();
+      mStarted[task].mAssignment = next;
+      mResult.mTasks[task].mRunner = next.mWorker;
+      mResult.mMessages++;
+      Push(mNow + mOptions.mLatency, kReach, task);
+    }
+  }
+
+  struct started_row
+  {
+    bool mPassed = false;
+    assignment mAssignment{};
+  };
+
+  dispatcher mDispatcher;
+  std::mt19937_64 mRandom;
+  std::vector<started_row> mStarted;
+  std::vector<std::deque<uint32_t>> mPending;
+  uint64_t mOpen = 0;
+  double mLastTick = 0;
+};
+
+} // namespace
+
+std::string
+Name(policy aPolicy)
+{
+  static const char* const kNames[] = { "fifo-bound",  "short-bound",
+                                        "cactusmast",  "no-hold",
+                                        "random",      "round-robin",
+                                        "two-choices", "stale-jsq" };
+  return kNames[size_t(aPolicy)];
+}
+
+workload
+MakeWorkload(const model_options& aOptions)
+{
+  std::mt19937_64 random(aOptions.mSeed);
+  workload made;
+  std::uniform_real_distribution<double> speed(aOptions.mMinSpeed,
+                                               aOptions.mMaxSpeed);
+  for (uint32_t i = 0; i < aOptions.mRunners; i++) {
+    made.mSpeeds.push_back(speed(random));
+    made.mCapacity += made.mSpeeds.back() * aOptions.mSlots;
+  }
+  double meanWork = 0;
+  for (const profile_shape& shape : kShapes) {
+    meanWork += shape.mMeanRun * shape.mShare * MeanSpeed(aOptions);
+  }
+  double meanJob = aOptions.mSingleTasks ? 1 : 0.7 + 0.2 * 4 + 0.1 * 20;
+  double jobRate = aOptions.mLoad * made.mCapacity / meanWork / meanJob;
+  double sigma = std::sqrt(std::log(1 + kSpread * kSpread));
+  std::exponential_distribution<double> gap(1);
+  for (double now = 0; now < aOptions.mDuration;) {
+    bool burst = now >= aOptions.mBurstFrom && now < aOptions.mBurstUntil;
+    now += gap(random) / (jobRate * (burst ? aOptions.mBurstFactor : 1));
+    uint32_t size = JobSize(random, aOptions.mSingleTasks);
+    double roll = std::uniform_real_distribution<double>(0, 1)(random);
+    uint32_t kind = 0;
+    while (kind + 1 < std::size(kShapes) && roll > kShapes[kind].mShare) {
+      roll -= kShapes[kind].mShare;
+      kind++;
+    }
+    double mean = kShapes[kind].mMeanRun;
+    std::lognormal_distribution<double> run(std::log(mean) - sigma * sigma / 2,
+                                            sigma);
+    auto teamIndex = uint32_t(random() % aOptions.mTeams);
+    for (uint32_t i = 0; i < size; i++) {
+      double work = std::max(kMinRun, run(random)) * MeanSpeed(aOptions);
+      made.mTasks.push_back({ now, made.mJobs, kind, teamIndex, work });
+    }
+    made.mJobs++;
+  }
+  return made;
+}
+
+run_result
+RunPolicy(const model_options& aOptions,
+          const workload& aWorkload,
+          policy aPolicy)
+{
+  if (aPolicy == policy::FifoBound || aPolicy == policy::ShortestBound) {
+    bool shortest = aPolicy == policy::ShortestBound;
+    return bound_run(aOptions, aWorkload, shortest).Run();
+  }
+  if (aPolicy == policy::Library || aPolicy == policy::NoHold) {
+    return library_run(aOptions, aWorkload, aPolicy == policy::Library).Run();
+  }
+  return push_run(aOptions, aWorkload, aPolicy).Run();
+}
+
+} // namespace cactusmast::bench
--- a/cactusmast/dispatcher.cc
+++ b/cactusmast/dispatcher.cc
@@ -2,16 +2,21 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdlib>
+#include <limits>
 
 namespace cactusmast {
 namespace {
 
 using std::chrono::milliseconds;
 
-// Held tasks use a slow slot after this multiple of the expected wait.
-constexpr int kHoldPatience = 2;
-// The faster slot must promise this much less than starting now.
-constexpr double kHoldGain = 0.95;
+// Share of its mean that a running task is expected to take at least from
+// now, however long it has run: run times vary about their mean.
+constexpr double kLeastRest = 0.4;
+// Holding pays only while there are slots to spare: at least this share of
+// them free, and an expected end this much earlier.
+constexpr double kHoldFreeShare = 0.1;
+constexpr double kHoldGain = 0.9;
 constexpr milliseconds kMinRetryAfter{ 50 };
 
 double
@@ -114,6 +119,7 @@
 void
 dispatcher::UpdateWorker(uint32_t aWorker, const worker_traits& aTraits)
 {
+  mPlanValid = false;
   bool returns = mWorkers[aWorker].mTraits.mSlots == 0 && aTraits.mSlots > 0;
   mWorkers[aWorker].mTraits = aTraits;
   if (returns) {
@@ -128,12 +134,14 @@
 void
 dispatcher::SetAccepting(uint32_t aWorker, bool aAccepting)
 {
+  mPlanValid = mPlanValid && mWorkers[aWorker].mAccepting == aAccepting;
   mWorkers[aWorker].mAccepting = aAccepting;
 }
 
 void
 dispatcher::RemoveWorker(uint32_t aWorker)
 {
+  mPlanValid = false;
   worker_row& row = mWorkers[aWorker];
   for (uint32_t lane = 0; lane < row.mRunningByLane.size(); lane++) {
     mLanes[lane].mRunning -= row.mRunningByLane[lane];
@@ -224,18 +232,33 @@
 }
 
 std::vector<job_handle>
-dispatcher::ShedFor(uint32_t aLane, uint32_t aPriority, uint32_t aCount) const
+dispatcher::ShedFor(uint32_t aLane, uint32_t aTeam, uint32_t aCount) const
 {
   std::vector<job_handle> victims;
-  if (mLanes[aLane].mProfile.mShedding != shedding_order::LowestPriority) {
+  const profile& newcomer = mLanes[aLane].mProfile;
+  if (newcomer.mShedding != shedding_order::LowestPriority) {
     return victims;
   }
-  uint32_t freed = 0;
-  mQueue.VisitBelow(aLane, aPriority, [&](job_handle aJob) {
-    victims.push_back(aJob);
-    freed += mQueue.QueuedOf(aJob);
-    return freed < aCount;
+  std::vector<uint32_t> lower;
+  for (uint32_t lane = 0; lane < mLanes.size(); lane++) {
+    if (mLanes[lane].mProfile.mPriority < newcomer.mPriority) {
+      lower.push_back(lane);
+    }
+  }
+  std::sort(lower.begin(), lower.end(), [this](uint32_t aOne, uint32_t aTwo) {
+    return mLanes[aOne].mProfile.mPriority < mLanes[aTwo].mProfile.mPriority;
   });
+  uint32_t freed = 0;
+  for (uint32_t lane : lower) {
+    mQueue.VisitJobs(lane, aTeam, [&](job_handle aJob) {
+      if (freed >= aCount) {
+        return false;
+      }
+      victims.push_back(aJob);
+      freed += mQueue.QueuedOf(aJob);
+      return true;
+    });
+  }
   if (freed < aCount) {
     victims.clear(); // dropping them would not make enough room
   }
@@ -246,84 +269,167 @@
 dispatcher::Enqueue(job_handle aJob,
                     uint32_t aLane,
                     uint32_t aTeam,
-                    uint32_t aPriority,
-                    uint32_t aCount)
+                    uint32_t aCount,
+                    instant aNow)
 {
-  mQueue.Push(aJob, aLane, aTeam, aPriority, aCount);
+  mPlanValid = false;
+  mQueue.Push(aJob, aLane, aTeam, aCount, aNow);
 }
 
 bool
-dispatcher::HasFreeSlot(uint32_t aLane, uint32_t aWorker, instant aNow) const
+dispatcher::Capped(uint32_t aLane) const
+{
+  uint32_t limit = mLanes[aLane].mProfile.mConcurrency;
+  return limit > 0 && mLanes[aLane].mRunning >= limit;
+}
+
+// Enters the worker's usable slots into the plan: free ones at once, busy
+// ones with the expected rest of what runs there.
+void
+dispatcher::PlanWorker(uint32_t aWorker, instant aNow)
 {
   const worker_row& row = mWorkers[aWorker];
-  if (!row.mAccepting) {
-    return false;
+  if (!row.mPresent || !row.mAccepting) {
+    return;
   }
   uint32_t limit = mHealth.Limit(aWorker, row.mTraits.mSlots, aNow);
-  uint32_t laneLimit = mLanes[aLane].mProfile.mWorkerConcurrency;
-  return row.mRunning < limit &&
-         (laneLimit == 0 || row.mRunningByLane[aLane] < laneLimit);
+  if (limit == 0) {
+    return;
+  }
+  mUsableSlots += limit;
+  uint32_t excess = row.mRunning > limit ? row.mRunning - limit : 0;
+  std::vector<double> rests;
+  for (const running_task& task : row.mTasks) {
+    double expected = Seconds(mEstimator.Expected(task.mLane, aWorker));
+    double rest = expected - Seconds(aNow - task.mStarted);
+    rests.push_back(std::max(rest, expected * kLeastRest));
+  }
+  // Tasks of an earlier owner, of which only the number is known.
+  rests.resize(row.mRunning, Seconds(run_time_estimator::kInitialRun));
+  if (excess > 0) {
+    // A slot over the limit is not refilled when it comes free.
+    std::sort(rests.begin(), rests.end());
+    rests.erase(rests.begin(), rests.begin() + excess);
+  }
+  for (double rest : rests) {
+    mPlan.AddSlot(aWorker, rest);
+  }
+  for (uint32_t i = row.mRunning; i < limit; i++) {
+    mPlan.AddSlot(aWorker, 0);
+    mFreeSlots++;
+  }
 }
 
+// False when no slot is free, so that there is nothing to plan.
 bool
-dispatcher::BetterToWait(uint32_t aLane, duration aBest, duration* aWait) const
+dispatcher::MakePlan(instant aNow)
 {
-  const lane_row& lane = mLanes[aLane];
-  double rate = 0;
-  double expected = 0;
-  for (uint32_t worker = 0; worker < lane.mEligible.size(); worker++) {
-    const worker_row& row = mWorkers[worker];
-    if (!lane.mEligible[worker] || !row.mAccepting || row.mRunning == 0) {
-      continue;
+  mPlan.Clear(mWorkers.size());
+  mFreeSlots = 0;
+  mUsableSlots = 0;
+  mPlanned = 0;
+  for (uint32_t worker = 0; worker < mWorkers.size(); worker++) {
+    PlanWorker(worker, aNow);
+  }
+  if (mFreeSlots == 0) {
+    return false;
+  }
+  mQueue.Groups(&mGroups);
+  mTeamTimes.assign(mTeams.size(), 0);
+  for (uint32_t i = 0; i < mTeams.size(); i++) {
+    mTeamTimes[i] = mQueue.Time(i);
+  }
+  mPlanTime = aNow;
+  mPlanValid = true;
+  return true;
+}
+
+double
+dispatcher::Score(const task_queue::group& aGroup, instant aNow) const
+{
+  double expected = std::max(1e-4, Seconds(mEstimator.Mean(aGroup.mLane)));
+  double waited = Seconds(aNow - aGroup.mSince);
+  double priority = 1 + mLanes[aGroup.mLane].mProfile.mPriority;
+  return priority * (waited + expected) / (expected * expected);
+}
+
+bool
+dispatcher::NextGroup(instant aNow, size_t* aIndex)
+{
+  double least = std::numeric_limits<double>::infinity();
+  for (const task_queue::group& one : mGroups) {
+    if (one.mQueued > 0) {
+      least = std::min(least, mTeamTimes[one.mTeam]);
     }
-    duration here = mEstimator.Expected(aLane, worker) + row.mTraits.mLatency;
-    if (double(here.count()) >= double(aBest.count()) * kHoldGain) {
+  }
+  bool found = false;
+  double best = 0;
+  for (size_t i = 0; i < mGroups.size(); i++) {
+    const task_queue::group& one = mGroups[i];
+    double ahead = (mTeamTimes[one.mTeam] - least) * mQueue.Quota(one.mTeam);
+    bool level = ahead <= mOptions.mTeamSlack * mUsableSlots;
+    if (one.mQueued == 0 || !level) {
       continue;
     }
-    double freeing = row.mRunning / std::max(1e-6, Seconds(here));
-    rate += freeing;
-    expected += freeing * Seconds(here);
-  }
-  if (rate <= 0) {
-    return false;
+    double score = Score(one, aNow);
+    if (!found || score > best) {
+      found = true;
+      best = score;
+      *aIndex = i;
+    }
   }
-  double wait = mQueue.Total() / rate;
-  *aWait = duration(int64_t(wait * 1e6));
-  return wait + expected / rate < Seconds(aBest) * kHoldGain;
+  return found;
 }
 
-dispatcher::choice
-dispatcher::Choose(uint32_t aLane, instant aNow)
+bool
+dispatcher::FirstEnd(uint32_t aLane,
+                     bool aFreeOnly,
+                     uint32_t* aWorker,
+                     double* aEnd) const
 {
-  lane_row& lane = mLanes[aLane];
-  choice best;
+  const lane_row& lane = mLanes[aLane];
+  uint32_t laneLimit = lane.mProfile.mWorkerConcurrency;
+  bool found = false;
   for (uint32_t worker = 0; worker < lane.mEligible.size(); worker++) {
-    if (!lane.mEligible[worker] || !HasFreeSlot(aLane, worker, aNow)) {
+    if (!lane.mEligible[worker] || !mPlan.HasSlot(worker)) {
+      continue;
+    }
+    const worker_row& row = mWorkers[worker];
+    bool full = laneLimit > 0 && row.mRunningByLane[aLane] >= laneLimit;
+    double free = mPlan.FirstFree(worker);
+    if (full || (aFreeOnly && free > 0)) {
       continue;
     }
-    duration expected =
-      mEstimator.Expected(aLane, worker) + mWorkers[worker].mTraits.mLatency;
-    if (!best.mFound || expected < best.mExpected) {
-      best.mFound = true;
-      best.mWorker = worker;
-      best.mExpected = expected;
+    double end =
+      free + Seconds(mEstimator.Expected(aLane, worker) + row.mTraits.mLatency);
+    if (!found || end < *aEnd) {
+      found = true;
+      *aWorker = worker;
+      *aEnd = end;
     }
   }
-  duration wait{};
-  if (!best.mFound || !mOptions.mHoldForFaster ||
-      !BetterToWait(aLane, best.mExpected, &wait)) {
-    lane.mHeld = false;
-    return best;
-  }
-  if (!lane.mHeld) {
-    lane.mHeld = true;
-    lane.mHeldSince = aNow;
-  }
-  best.mHold = aNow - lane.mHeldSince < wait * kHoldPatience;
-  if (!best.mHold) {
-    lane.mHeld = false;
-  }
-  return best;
+  return found;
+}
+
+void
+dispatcher::Start(const task_queue::group& aGroup,
+                  uint32_t aWorker,
+                  instant aNow,
+                  assignment* aOut)
+{
+  aOut->mLane = aGroup.mLane;
+  aOut->mTeam = aGroup.mTeam;
+  aOut->mWorker = aWorker;
+  aOut->mExpected = mEstimator.Expected(aGroup.mLane, aWorker);
+  mQueue.Pop(aGroup.mLane, aGroup.mTeam, &aOut->mJob);
+  mQueue.Charge(aGroup.mTeam, Seconds(aOut->mExpected));
+  worker_row& row = mWorkers[aWorker];
+  row.mRunning++;
+  row.mRunningByLane[aGroup.mLane]++;
+  row.mTasks.push_back({ aGroup.mLane, aNow });
+  mLanes[aGroup.mLane].mRunning++;
+  mFreeSlots--;
+  mFirstDispatches++;
 }
 
 bool
@@ -332,58 +438,77 @@
   if (mQueue.Total() == 0) {
     return false;
   }
-  // Lanes in the order of their next team's virtual time; a lane that cannot
-  // start, or should wait, gives way to the next.
-  std::vector<std::pair<double, uint32_t>> order;
-  for (uint32_t lane = 0; lane < mLanes.size(); lane++) {
-    const profile& limits = mLanes[lane].mProfile;
-    bool capped =
-      limits.mConcurrency > 0 && mLanes[lane].mRunning >= limits.mConcurrency;
-    if (mQueue.Queued(lane) > 0 && !capped) {
-      order.emplace_back(mQueue.NextTime(lane), lane);
-    }
+  if ((!mPlanValid || mPlanTime != aNow) && !MakePlan(aNow)) {
+    return false;
   }
-  std::sort(order.begin(), order.end());
-  for (const auto& [time, lane] : order) {
-    choice chosen = Choose(lane, aNow);
-    if (!chosen.mFound || chosen.mHold) {
+  size_t index = 0;
+  while (mFreeSlots > 0 && mPlanned < mOptions.mPlanHorizon &&
+         NextGroup(aNow, &index)) {
+    task_queue::group& next = mGroups[index];
+    uint32_t worker = 0;
+    uint32_t freeWorker = 0;
+    double end = 0;
+    double freeEnd = 0;
+    bool startable =
+      !Capped(next.mLane) && FirstEnd(next.mLane, true, &freeWorker, &freeEnd);
+    if (Capped(next.mLane) || !FirstEnd(next.mLane, false, &worker, &end)) {
+      next.mQueued = 0; // nobody can take it; the others go on
       continue;
     }
-    aOut->mLane = lane;
-    aOut->mWorker = chosen.mWorker;
-    aOut->mExpected = mEstimator.Expected(lane, chosen.mWorker);
-    mQueue.Pop(lane, &aOut->mJob, &aOut->mTeam);
-    mQueue.Charge(aOut->mTeam, Seconds(aOut->mExpected));
-    mWorkers[chosen.mWorker].mRunning++;
-    mWorkers[chosen.mWorker].mRunningByLane[lane]++;
-    mLanes[lane].mRunning++;
-    mFirstDispatches++;
-    return true;
+    bool patient =
+      mOptions.mHoldForFaster && mFreeSlots > mUsableSlots * kHoldFreeShare &&
+      end < freeEnd * kHoldGain && Seconds(aNow - next.mSince) < freeEnd;
+    if (startable && !patient) {
+      worker = freeWorker;
+      end = freeEnd;
+    }
+    double free = mPlan.FirstFree(worker);
+    double cost = end - free;
+    mPlan.Take(worker, cost);
+    mTeamTimes[next.mTeam] += cost / mQueue.Quota(next.mTeam);
+    mPlanned++;
+    next.mQueued--;
+    if (free <= 0) {
+      Start(next, worker, aNow, aOut);
+      return true;
+    }
   }
   return false;
 }
 
 void
-dispatcher::Release(uint32_t aWorker, uint32_t aLane)
+dispatcher::Release(uint32_t aWorker, uint32_t aLane, instant aStarted)
 {
   worker_row& row = mWorkers[aWorker];
   if (row.mRunning > 0 && row.mRunningByLane[aLane] > 0) {
     row.mRunning--;
     row.mRunningByLane[aLane]--;
     mLanes[aLane].mRunning--;
+    // Of the lane's tasks there, the one that started nearest to aStarted.
+    auto nearest = row.mTasks.end();
+    for (auto task = row.mTasks.begin(); task != row.mTasks.end(); ++task) {
+      bool closer = nearest == row.mTasks.end() ||
+                    std::abs((task->mStarted - aStarted).count()) <
+                      std::abs((nearest->mStarted - aStarted).count());
+      if (task->mLane == aLane && closer) {
+        nearest = task;
+      }
+    }
+    row.mTasks.erase(nearest);
   }
 }
 
 void
 dispatcher::Finished(const completion& aDone, instant aNow)
 {
-  Release(aDone.mWorker, aDone.mLane);
+  mPlanValid = false;
+  Release(aDone.mWorker, aDone.mLane, aNow - aDone.mRun);
   mQueue.Charge(aDone.mTeam, Seconds(aDone.mRun) - Seconds(aDone.mExpected));
   if (aDone.mFailed) {
     mHealth.RecordFailure(aDone.mWorker, aNow);
     return;
   }
-  mHealth.RecordSuccess(aDone.mWorker, aNow);
+  mHealth.RecordSuccess(aDone.mWorker, aNow - aDone.mRun);
   mEstimator.Observe(aDone.mLane, aDone.mWorker, aDone.mRun);
 }
 
@@ -393,7 +518,8 @@
                        uint32_t aTeam,
                        duration aExpected)
 {
-  Release(aWorker, aLane);
+  mPlanValid = false;
+  Release(aWorker, aLane, instant::max() / 2);
   mQueue.Charge(aTeam, -Seconds(aExpected));
 }
 
@@ -413,9 +539,10 @@
 dispatcher::PutBack(job_handle aJob,
                     uint32_t aLane,
                     uint32_t aTeam,
-                    uint32_t aPriority)
+                    instant aNow)
 {
-  mQueue.PutBack(aJob, aLane, aTeam, aPriority);
+  mPlanValid = false;
+  mQueue.PutBack(aJob, aLane, aTeam, aNow);
 }
 
 } // namespace cactusmast
--- a/cactusmast/dispatcher.h
+++ b/cactusmast/dispatcher.h
@@ -6,14 +6,23 @@
 // at the workers: a task stays here until a slot is its own, and is never
 // refused for want of one.
 //
-// Placement picks the free slot with the earliest expected end, counting the
-// learned run time on that worker and the network's latency to it. When only
-// slow slots are free, it compares starting now with waiting for a faster
-// slot: the faster workers' slots come free at the sum of their running
-// tasks over their expected run times, so the task at position n of the queue
-// waits about n over that rate. If waiting wins, the slow slot stays idle;
-// after twice the expected wait it is used all the same, in case the fast
-// workers are held up by stragglers.
+// Whenever a slot may be free, the dispatcher plans ahead with what it has
+// learned. It takes the queued groups in order, and lets each task have the
+// slot on which it is expected to end first, counting slots that are busy now
+// with the expected rest of what runs there. A task whose slot is free starts;
+// one that is better off waiting for a faster slot is only entered into the
+// plan, and the free slot goes to the next. So a slow server is used exactly
+// as far as the queue makes it worth while. Waiting needs slots to spare; when
+// nearly all are busy, leaving one idle costs those behind more than it gains.
+// A task that has waited longer than
+// the slow slot would have taken stops waiting, in case the fast ones are held
+// up by stragglers.
+//
+// The order: teams that are behind in virtual time first; among teams that
+// are level within a small slack, the greatest of priority times (waited +
+// expected run) over the square of the expected run. Short work passes long
+// work at little cost to the latter, and waiting raises the score, so nothing
+// starves. docs/MEASUREMENTS.md has the figures of the exponents tried.
 //
 // Admission refuses early what cannot be served: a submission that no known
 // worker can ever run, that would overflow its profile's or team's queue, or
@@ -37,6 +46,7 @@
 #include "cactusmast/health.h"
 #include "cactusmast/ids.h"
 #include "cactusmast/profile.h"
+#include "cactusmast/slot_plan.h"
 #include "cactusmast/task_queue.h"
 #include "util/result.h"
 
@@ -63,6 +73,12 @@
   uint32_t mRetryFloor = 10;
   // Off only to measure what waiting for a faster slot gains.
   bool mHoldForFaster = true;
+  // A team counts as level with the one that is furthest behind while it is
+  // ahead by less than this many seconds of all slots. A tenth of a second
+  // shifts a share over ten seconds by one hundredth at most.
+  double mTeamSlack = 0.1;
+  // Queued tasks that one plan looks at.
+  uint32_t mPlanHorizon = 64;
 };
 
 struct assignment
@@ -112,8 +128,8 @@
   void Enqueue(job_handle aJob,
                uint32_t aLane,
                uint32_t aTeam,
-               uint32_t aPriority,
-               uint32_t aCount);
+               uint32_t aCount,
+               instant aNow);
   uint32_t Remove(job_handle aJob) { return mQueue.Remove(aJob); }
 
   // The next start, or false when nothing can or should start now.
@@ -131,23 +147,25 @@
   void ReleaseAdopted(uint32_t aWorker) { mWorkers[aWorker].mRunning--; }
   // True when the retry budget allows one more dispatch of a refused task.
   bool TakeRetry();
-  void PutBack(job_handle aJob,
-               uint32_t aLane,
-               uint32_t aTeam,
-               uint32_t aPriority);
+  void PutBack(job_handle aJob, uint32_t aLane, uint32_t aTeam, instant aNow);
 
   // True when some known worker could run the lane's tasks, busy or not.
   bool Satisfiable(uint32_t aLane) const;
   static bool Fits(const worker_traits& aTraits, const profile& aProfile);
-  // Jobs that make room for a newcomer, by the lane's shedding order.
+  // The team's queued jobs of lower priority that make room for aCount tasks
+  // of aLane, when its shedding order allows.
   std::vector<job_handle> ShedFor(uint32_t aLane,
-                                  uint32_t aPriority,
+                                  uint32_t aTeam,
                                   uint32_t aCount) const;
 
   const profile& LaneProfile(uint32_t aLane) const
   {
     return mLanes[aLane].mProfile;
   }
+  uint32_t TeamQueueLimit(uint32_t aTeam) const
+  {
+    return mTeams[aTeam].mQueueLimit;
+  }
   const task_queue& Queue() const { return mQueue; }
   const run_time_estimator& Estimator() const { return mEstimator; }
   uint32_t Running(uint32_t aWorker) const
@@ -165,6 +183,12 @@
   uint64_t Retries() const { return mRetries; }
 
 private:
+  struct running_task
+  {
+    uint32_t mLane;
+    instant mStarted;
+  };
+
   struct worker_row
   {
     bool mPresent = false;
@@ -172,6 +196,7 @@
     worker_traits mTraits;
     uint32_t mRunning = 0;
     std::vector<uint32_t> mRunningByLane;
+    std::vector<running_task> mTasks;
   };
 
   struct lane_row
@@ -179,24 +204,26 @@
     profile mProfile;
     uint32_t mRunning = 0;
     std::vector<bool> mEligible; // by worker
-    instant mHeldSince{};
-    bool mHeld = false;
-  };
-
-  struct choice
-  {
-    bool mFound = false;
-    bool mHold = false;
-    uint32_t mWorker = 0;
-    duration mExpected{};
   };
 
   void RefreshEligible(lane_row& aLane, uint32_t aWorker);
-  bool HasFreeSlot(uint32_t aLane, uint32_t aWorker, instant aNow) const;
-  choice Choose(uint32_t aLane, instant aNow);
-  // Expected end, from now, on a slot faster than aBest that is still busy.
-  bool BetterToWait(uint32_t aLane, duration aBest, duration* aWait) const;
-  void Release(uint32_t aWorker, uint32_t aLane);
+  bool MakePlan(instant aNow);
+  void PlanWorker(uint32_t aWorker, instant aNow);
+  // The group that goes next in the plan; false when none is left.
+  bool NextGroup(instant aNow, size_t* aIndex);
+  double Score(const task_queue::group& aGroup, instant aNow) const;
+  bool Capped(uint32_t aLane) const;
+  // The worker on which a task of aLane is expected to end first; false when
+  // none can take it. With aFreeOnly, among those with a free slot.
+  bool FirstEnd(uint32_t aLane,
+                bool aFreeOnly,
+                uint32_t* aWorker,
+                double* aEnd) const;
+  void Start(const task_queue::group& aGroup,
+             uint32_t aWorker,
+             instant aNow,
+             assignment* aOut);
+  void Release(uint32_t aWorker, uint32_t aLane, instant aStarted);
   // Slots that the lane's tasks may use, and their mean expected run time.
   void Capacity(uint32_t aLane, double* aSlots, duration* aRun) const;
 
@@ -207,6 +234,15 @@
   std::vector<worker_row> mWorkers;
   std::vector<lane_row> mLanes;
   std::vector<team> mTeams;
+  // The plan under way; void after any change or when time moves on.
+  bool mPlanValid = false;
+  instant mPlanTime{};
+  slot_plan mPlan;
+  std::vector<task_queue::group> mGroups;
+  std::vector<double> mTeamTimes;
+  uint32_t mPlanned = 0;
+  uint32_t mFreeSlots = 0;
+  uint32_t mUsableSlots = 0;
   uint64_t mFirstDispatches = 0;
   uint64_t mRetries = 0;
 };
--- a/cactusmast/entry_membership.cc
+++ b/cactusmast/entry_membership.cc
@@ -202,6 +202,7 @@
                                                mRandom,
                                                aNow,
                                                mSafeguards.mOwner);
+  shard.mOwner->SetAbsent(shard.mAbilities);
   shard.mStoredVersion = 0;
   shard.mNextStore = aNow;
   for (const auto& [peer, row] : mPeers) {
--- a/cactusmast/entry_node.cc
+++ b/cactusmast/entry_node.cc
@@ -619,6 +619,11 @@
   row.mWorker = aState;
   row.mWorkerKnown = true;
   NoteSeen(row.mIdentity, aNow);
+  if (!aState.services.empty()) {
+    Shard(row.mIdentity.mShard).mAbilities[row.mIdentity.mName] = {
+      TraitsOf(aState), aNow
+    };
+  }
   shard_owner* owner = OwnerFor(aPeer);
   if (owner != nullptr) {
     owner->OnWorkerState(aPeer, aState);
--- a/cactusmast/entry_node.h
+++ b/cactusmast/entry_node.h
@@ -191,7 +191,9 @@
   struct shard_row
   {
     std::unique_ptr<shard_owner> mOwner;
-    std::vector<known_worker> mSeen;   // by this process
+    std::vector<known_worker> mSeen; // by this process
+    // What the workers that it saw could do, and when they last said so.
+    std::map<std::string, std::pair<worker_traits, instant>> mAbilities;
     std::vector<known_worker> mRoster; // read from the table
     uint64_t mStoreRequest = 0;
     uint64_t mStoringVersion = 0;
--- a/cactusmast/health.cc
+++ b/cactusmast/health.cc
@@ -52,11 +52,15 @@
 }
 
 void
-worker_health::RecordSuccess(uint32_t aWorker, instant /*aNow*/)
+worker_health::RecordSuccess(uint32_t aWorker, instant aStarted)
 {
   row& entry = mRows[aWorker];
   entry.mResults++;
   entry.mFailureRate -= entry.mFailureRate * kRateGain;
+  if (aStarted <= entry.mLastFailure) {
+    // It started before the worker went wrong, and tells nothing of now.
+    return;
+  }
   if (entry.mEvidence > 0) {
     double usual = std::min(kBrokenFailureRate, MedianFailureRate());
     entry.mEvidence += std::log((1 - kBrokenFailureRate) / (1 - usual));
@@ -73,6 +77,7 @@
   row& entry = mRows[aWorker];
   entry.mResults++;
   entry.mFailureRate += (1 - entry.mFailureRate) * kRateGain;
+  entry.mLastFailure = aNow;
   double usual =
     std::clamp(MedianFailureRate(), kMinFailureRate, kBrokenFailureRate);
   entry.mEvidence += std::log(kBrokenFailureRate / usual);
--- a/cactusmast/health.h
+++ b/cactusmast/health.h
@@ -44,7 +44,8 @@
 
   // A worker that is new or has come back.
   void Reset(uint32_t aWorker);
-  void RecordSuccess(uint32_t aWorker, instant aNow);
+  // Of a task that started at aStarted.
+  void RecordSuccess(uint32_t aWorker, instant aStarted);
   void RecordFailure(uint32_t aWorker, instant aNow);
   void Remove(uint32_t aWorker);
 
@@ -63,6 +64,7 @@
     uint32_t mRamp = 1;
     duration mPause{};
     instant mResumeAt{};
+    instant mLastFailure{};
   };
 
   double MedianFailureRate() const;
--- a/cactusmast/shard_owner.cc
+++ b/cactusmast/shard_owner.cc
@@ -39,6 +39,18 @@
   }
 }
 
+worker_traits
+TraitsOf(const wire::worker_state_msg& aState)
+{
+  worker_traits traits;
+  traits.mServices = aState.services;
+  traits.mSlots = aState.slots;
+  traits.mCpus = aState.cpus;
+  traits.mMemoryMb = aState.memory_mb;
+  traits.mAccelerators = aState.accelerators;
+  return traits;
+}
+
 shard_owner::shard_owner(owner_options aOptions,
                          uint64_t aEpoch,
                          const std::vector<known_worker>& aKnown,
@@ -147,12 +159,7 @@
   if (row == nullptr) {
     return;
   }
-  worker_traits traits;
-  traits.mServices = aState.services;
-  traits.mSlots = aState.slots;
-  traits.mCpus = aState.cpus;
-  traits.mMemoryMb = aState.memory_mb;
-  traits.mAccelerators = aState.accelerators;
+  worker_traits traits = TraitsOf(aState);
   if (row->mIdentity.mDataCenter != mOptions.mDataCenter) {
     traits.mLatency = mOptions.mRemoteLatency;
   }
--- a/cactusmast/shard_owner.h
+++ b/cactusmast/shard_owner.h
@@ -94,6 +94,10 @@
 // away.
 constexpr char kUnlistedWorker[] = "(unlisted)";
 
+// What a guard announced, without the latency to it.
+worker_traits
+TraitsOf(const wire::worker_state_msg& aState);
+
 // Receives the owner's answers to waiters.
 class answer_sink
 {
@@ -142,6 +146,12 @@
               owner_safeguards aSafeguards = {});
 
   void SetConfig(const deployment_config& aConfig);
+  // What workers that this process saw before could do.
+  void SetAbsent(
+    std::map<std::string, std::pair<worker_traits, instant>> aAbsent)
+  {
+    mAbsent = std::move(aAbsent);
+  }
 
   // A guard of this shard connected, perhaps again.
   void Attach(peer_id aPeer, const peer_identity& aIdentity, instant aNow);
@@ -337,10 +347,7 @@
   bool MergeRecord(const wire::record_summary& aRecord,
                    const worker_row& aFrom,
                    instant aNow);
-  void MakeRoom(uint32_t aLane,
-                uint32_t aPriority,
-                uint32_t aCount,
-                instant aNow);
+  void MakeRoom(uint32_t aLane, uint32_t aTeam, uint32_t aCount, instant aNow);
   void AnswerFrom(const job_row& aRow, const waiter& aWaiter);
   void Refuse(const waiter& aWaiter, const failure& aError);
   void AddWaiter(job_handle aJob, const waiter& aWaiter);
--- a/cactusmast/shard_owner_jobs.cc
+++ b/cactusmast/shard_owner_jobs.cc
@@ -255,7 +255,7 @@
       if (!discovering) {
         CheckSatisfiable(lane, aNow);
       }
-      MakeRoom(lane, rules.mPriority, count, aNow);
+      MakeRoom(lane, teamIndex, count, aNow);
       mDispatcher.Admit(
         lane, teamIndex, count, deadline, mRandom.NextUniform());
     }
@@ -276,7 +276,7 @@
     for (const task_entry& task : row.mTasks) {
       queued += task.mState == task_state::Queued ? 1 : 0;
     }
-    mDispatcher.Enqueue(job, lane, teamIndex, row.mPriority, queued);
+    mDispatcher.Enqueue(job, lane, teamIndex, queued, aNow);
     if (!mDispatcher.Satisfiable(lane)) {
       mUnsatisfiable.push_back(job);
     }
@@ -287,17 +287,17 @@
 
 void
 shard_owner::MakeRoom(uint32_t aLane,
-                      uint32_t aPriority,
+                      uint32_t aTeam,
                       uint32_t aCount,
                       instant aNow)
 {
-  uint32_t queued = mDispatcher.Queue().Queued(aLane);
-  uint32_t limit = mDispatcher.LaneProfile(aLane).mQueueLimit;
+  uint32_t queued = mDispatcher.Queue().QueuedOfTeam(aTeam);
+  uint32_t limit = mDispatcher.TeamQueueLimit(aTeam);
   if (queued + aCount <= limit) {
     return;
   }
   uint32_t missing = queued + aCount - limit;
-  for (job_handle victim : mDispatcher.ShedFor(aLane, aPriority, missing)) {
+  for (job_handle victim : mDispatcher.ShedFor(aLane, aTeam, missing)) {
     SettleQueued(victim, task_reason::Shed, aNow);
   }
 }
@@ -563,7 +563,7 @@
   task.mState = task_state::Queued;
   row.mReturned.push_back(aIndex);
   mCounters.mRepeatedTasks++;
-  mDispatcher.PutBack(aFlight.mJob, row.mLane, row.mTeam, row.mPriority);
+  mDispatcher.PutBack(aFlight.mJob, row.mLane, row.mTeam, aNow);
 }
 
 void
--- a/cactusmast/task_queue.h
+++ b/cactusmast/task_queue.h
@@ -1,21 +1,20 @@
-// Queued tasks of one shard, in the order in which they are to start.
+// Queued tasks of one shard.
 //
-// Three levels decide the order:
-//   - between teams, weighted fair sharing by virtual time: every start
-//     advances its team's time by the expected run time over the team's quota,
-//     and the team that is furthest behind goes next. The real run time
-//     corrects the charge afterwards, so a wrong guess costs only its own
-//     team. A team that was idle starts at the present virtual time: idleness
-//     earns no credit, and unused shares go to whoever has work.
-//   - within a team, the greater priority first; but every eighth start goes
-//     to the lowest level that waits, so that no priority starves.
-//   - within a priority, jobs take turns task by task, so a job of a thousand
-//     tasks does not hold up a job of one.
+// Tasks wait in groups, one for each team and profile (lane), because a group
+// whose workers are all busy must not hold up another. Within a group, jobs
+// take turns task by task, so that a job of a thousand tasks does not hold up
+// a job of one.
 //
-// Tasks wait in lanes, one for each profile, because a lane whose workers are
-// all busy must not hold up another. The cost of a step grows with the number
-// of lanes and active teams, never with the number of queued tasks; removing
-// a job costs the same whether it has one task or a thousand.
+// Between teams the queue keeps weighted virtual time: every start advances
+// its team's time by the expected run time over the team's quota, and the
+// real run time corrects that afterwards, so a wrong guess costs only its own
+// team. A team that was idle resumes at the present virtual time: idleness
+// earns no credit, and unused shares go to whoever has work. Which group goes
+// next is the dispatcher's decision, made from these times.
+//
+// The cost of a step grows with the number of groups that have work, never
+// with the number of queued tasks; removing a job costs the same whether it
+// has one task or a thousand.
 
 #ifndef CACTUSMAST_TASK_QUEUE_H_
 #define CACTUSMAST_TASK_QUEUE_H_
@@ -43,28 +42,32 @@
   void Push(job_handle aJob,
             uint32_t aLane,
             uint32_t aTeam,
-            uint32_t aPriority,
-            uint32_t aCount);
+            uint32_t aCount,
+            instant aNow);
 
-  // Takes one task of the next job of aLane, or returns false.
-  bool Pop(uint32_t aLane, job_handle* aJob, uint32_t* aTeam);
+  // Takes one task of the next job of the group, or returns false.
+  bool Pop(uint32_t aLane, uint32_t aTeam, job_handle* aJob);
 
   // Puts back one task that did not start, ahead of its equals.
-  void PutBack(job_handle aJob,
-               uint32_t aLane,
-               uint32_t aTeam,
-               uint32_t aPriority);
+  void PutBack(job_handle aJob, uint32_t aLane, uint32_t aTeam, instant aNow);
 
   // Forgets a job's queued tasks; returns how many there were.
   uint32_t Remove(job_handle aJob);
 
-  // Charges a start's expected cost, and later the difference to the real
-  // one, to the team's virtual time.
+  // Advances the team's virtual time, or moves it back.
   void Charge(uint32_t aTeam, double aSeconds);
+  double Time(uint32_t aTeam) const { return mTeams[aTeam].mTime; }
 
-  // Virtual time of the team that would be next in aLane; the lane with the
-  // smallest goes first. Infinite when nothing waits.
-  double NextTime(uint32_t aLane) const;
+  // A group with queued work.
+  struct group
+  {
+    uint32_t mLane = 0;
+    uint32_t mTeam = 0;
+    uint32_t mQueued = 0;
+    instant mSince{}; // its next job waits since then
+  };
+  // Replaces aOut's content with all groups that have work.
+  void Groups(std::vector<group>* aOut) const;
 
   uint32_t Queued(uint32_t aLane) const;
   uint32_t QueuedOfTeam(uint32_t aTeam) const;
@@ -75,35 +78,30 @@
   uint32_t ActiveQuota(uint32_t aTeam) const;
   uint32_t Quota(uint32_t aTeam) const { return mTeams[aTeam].mQuota; }
 
-  // Calls aVisit with the jobs of aLane whose priority is below aPriority,
-  // lowest first, until it returns false.
-  void VisitBelow(uint32_t aLane,
-                  uint32_t aPriority,
-                  const std::function<bool(job_handle)>& aVisit) const;
+  // Calls aVisit with the queued jobs of a group, until it returns false.
+  void VisitJobs(uint32_t aLane,
+                 uint32_t aTeam,
+                 const std::function<bool(job_handle)>& aVisit) const;
 
 private:
   struct job_row
   {
     uint32_t mLane;
     uint32_t mTeam;
-    uint32_t mPriority;
     uint32_t mQueued;
-    bool mListed; // present in its level's ring
+    instant mSince;
+    bool mListed; // present in its group's ring
   };
 
-  // Jobs of equal priority; the front goes next.
-  using ring = std::deque<job_handle>;
-
-  struct lane_team
+  struct group_row
   {
-    std::map<uint32_t, ring> mLevels; // by priority, lowest first
+    std::deque<job_handle> mRing; // the front goes next
     uint32_t mQueued = 0;
-    uint32_t mPops = 0;
   };
 
   struct lane_row
   {
-    std::map<uint32_t, lane_team> mTeams; // those with queued work only
+    std::map<uint32_t, group_row> mGroups; // by team; with queued work only
     uint32_t mQueued = 0;
   };
 
@@ -114,14 +112,15 @@
     uint32_t mQueued = 0;
   };
 
+  job_row& RowFor(job_handle aJob,
+                  uint32_t aLane,
+                  uint32_t aTeam,
+                  instant aNow);
   void Add(job_row& aRow, uint32_t aCount);
-  void Subtract(job_row& aRow, uint32_t aCount);
-  void Activate(uint32_t aTeam);
+  void Subtract(const job_row& aRow, uint32_t aCount);
   void List(job_handle aJob, job_row& aRow, bool aFront);
-  // Drops rings that are empty or hold only removed jobs at the front.
-  void Tidy(lane_team& aTeam);
-  std::map<uint32_t, lane_team>::const_iterator NextTeam(
-    const lane_row& aLane) const;
+  // Drops jobs without queued tasks from the ring's front.
+  void Tidy(group_row& aGroup);
 
   std::vector<lane_row> mLanes;
   std::vector<team_row> mTeams;
