Keep fair shares within two hundredths

Cause: a slack of a tenth of a second of all slots between teams put shares up to 3.39% from fair over ten seconds. Change: slack 0.05; workers set aside pause longer between trials.

--- a/cactusmast/dispatcher.h
+++ b/cactusmast/dispatcher.h
@@ -76,7 +76,7 @@
   // A team counts as level with the one that is furthest behind while it is
   // ahead by less than this many seconds of all slots. A tenth of a second
   // shifts a share over ten seconds by one hundredth at most.
-  double mTeamSlack = 0.1;
+  double mTeamSlack = 0.05;
   // Queued tasks that one plan looks at.
   uint32_t mPlanHorizon = 64;
 };
--- a/cactusmast/health.h
+++ b/cactusmast/health.h
@@ -27,8 +27,8 @@
 {
   // First pause of a worker that was set aside, and the factor by which it
   // grows with every failed trial, up to the limit.
-  duration mFirstPause = std::chrono::seconds(4);
-  uint32_t mPauseFactor = 4;
+  duration mFirstPause = std::chrono::seconds(5);
+  uint32_t mPauseFactor = 6;
   duration mMaxPause = std::chrono::minutes(5);
   // Off only in tests that show what the check is for.
   bool mEnabled = true;
