--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 CORE_LIB := $(BUILD)/libcactusmast.a
 SHELL_LIB := $(BUILD)/libcactusmast_shell.a
 PROGRAMS := $(addprefix $(BUILD)/, cactusmast-entry cactusmast-guard \
-  cactusmast platform-table backend-server)
+  cactusmast platform-table backend-server cactusmast-load)
 
 .PHONY: all programs test test-all demo bench lint format format-check deps \
   generate sanitize clean
@@ -67,6 +67,10 @@
   $(CORE_LIB)
 	@$(CXX) $(LDFLAGS) $^ $(SHELL_LIBS) -o $@
 
+$(BUILD)/cactusmast-load: $(BUILD)/obj/standins/load_main.o $(SHELL_LIB) \
+  $(CORE_LIB)
+	@$(CXX) $(LDFLAGS) $^ $(SHELL_LIBS) -o $@
+
 $(BUILD)/cactusmast-test: $(TEST_OBJECTS) $(SHELL_LIB) $(CORE_LIB)
 	@$(CXX) $(LDFLAGS) $^ $(SHELL_LIBS) -lrapidcheck -o $@
 
--- /dev/null
+++ b/scripts/check_chaos.py
@@ -0,0 +1,62 @@
+"""Checks the promises over the files that a run of chaos.sh left behind."""
+
+import collections
+import glob
+import json
+import sys
+
+
+def main():
+    directory, faults, jobs, tasks = sys.argv[1], *map(int, sys.argv[2:5])
+    starts = collections.Counter()
+    for name in glob.glob(directory + "/starts-*"):
+        with open(name) as lines:
+            starts.update(line.strip() for line in lines if line.strip())
+    broken = []
+    for task, count in starts.items():
+        if count > 1:
+            broken.append(f"{task} started {count} times")
+    states = collections.Counter()
+    answered = 0
+    for name in glob.glob(directory + "/answers-*"):
+        with open(name) as lines:
+            for line in lines:
+                key, body = line.split(" ", 1)
+                answered += 1
+                if not body.strip():
+                    states["no reply"] += 1
+                    continue
+                check_answer(key, json.loads(body), tasks, starts, states, broken)
+    if answered != jobs:
+        broken.append(f"{answered} answers to {jobs} jobs")
+    print(f"faults {faults}, jobs {jobs}, answers {answered}, "
+          f"starts {sum(starts.values())}, {dict(states)}")
+    for text in broken[:20]:
+        print("BROKEN", text)
+    print("broken promises:", len(broken))
+    sys.exit(1 if broken else 0)
+
+
+def check_answer(key, body, tasks, starts, states, broken):
+    state = body.get("state", "error " + body.get("error", {}).get("code", ""))
+    states[state] += 1
+    if state not in ("complete", "failed"):
+        return
+    if len(body["tasks"]) != tasks:
+        broken.append(f"{key} has {len(body['tasks'])} tasks")
+    succeeded = 0
+    for task in body["tasks"]:
+        name = f"{body['job']}.{task['index']}"
+        if task["outcome"] == "succeeded":
+            succeeded += 1
+            if json.loads(task["output"]) != {"done": name}:
+                broken.append(f"{name} carries {task['output']}")
+            if starts[name] != 1:
+                broken.append(f"{name} succeeded with {starts[name]} starts")
+        elif task["run"] == "not_run" and starts[name] > 0:
+            broken.append(f"{name} is said not to have run")
+    if (state == "complete") != (succeeded == tasks):
+        broken.append(f"{key} is {state} with {succeeded} successes")
+
+
+main()
--- a/shell/entry_daemon.cc
+++ b/shell/entry_daemon.cc
@@ -440,6 +440,7 @@
     mHttp->Answer(aExchange.Id(), { 200, SerializeProfile(ProfileOf(aName)) });
     return;
   }
+  OperatorOf(aExchange); // before anything is said about the body
   config_change change;
   if (method == "DELETE") {
     change.mAction = change_action::RetireProfile;
@@ -465,6 +466,7 @@
   if (aExchange.Method() != "PUT") {
     throw failure(error_code::BadRequest, "read change", "operator", "PUT");
   }
+  OperatorOf(aExchange);
   config_change change;
   change.mAction = change_action::PutTeam;
   change.mTeam = ParseTeam(aExchange.Body()).Value();
--- a/shell/http_server.cc
+++ b/shell/http_server.cc
@@ -29,6 +29,32 @@
   }
 }
 
+// libsoup's own listener queues ten connections. Beyond that the kernel drops
+// them, and a client that opens many at once has some reset a second later,
+// not knowing whether its request was run.
+constexpr int kBacklog = 1024;
+
+gobject_ptr<GSocket>
+OpenListener(const std::string& aListen, GError** aError)
+{
+  gobject_ptr<GSocketAddress> address = ParseAddress(aListen);
+  if (address == nullptr) {
+    return nullptr;
+  }
+  gobject_ptr<GSocket> socket(
+    g_socket_new(g_socket_address_get_family(address.get()),
+                 G_SOCKET_TYPE_STREAM,
+                 G_SOCKET_PROTOCOL_TCP,
+                 aError));
+  if (socket == nullptr) {
+    return nullptr;
+  }
+  g_socket_set_listen_backlog(socket.get(), kBacklog);
+  bool up = g_socket_bind(socket.get(), address.get(), TRUE, aError) &&
+            g_socket_listen(socket.get(), aError);
+  return up ? std::move(socket) : nullptr;
+}
+
 void
 FreeWatch(gpointer aData, GClosure* /*aClosure*/)
 {
@@ -92,12 +118,12 @@
 {
   std::unique_ptr<http_server> made(
     new http_server(aMaxBody, std::move(aHandler), std::move(aGone)));
-  gobject_ptr<GSocketAddress> address = ParseAddress(aListen);
   GError* error = nullptr;
-  bool up = address != nullptr && soup_server_listen(made->mServer.get(),
-                                                     address.get(),
-                                                     SoupServerListenOptions(0),
-                                                     &error);
+  gobject_ptr<GSocket> socket = OpenListener(aListen, &error);
+  bool up =
+    socket != nullptr &&
+    soup_server_listen_socket(
+      made->mServer.get(), socket.get(), SoupServerListenOptions(0), &error);
   gerror_ptr held(error);
   if (!up) {
     return failure(error_code::Unavailable,
--- /dev/null
+++ b/standins/load_main.cc
@@ -0,0 +1,308 @@
+// Drives entries with a user's workload, from outside and open-loop: requests
+// leave at their times whether or not earlier ones are answered. Reports
+// response time against the ideal. Load goes to loopback addresses only and
+// is bounded in count and time.
+
+#include <algorithm>
+#include <cmath>
+#include <docopt/docopt.h>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <random>
+
+#include "shell/daemon.h"
+#include "shell/http_client.h"
+
+namespace {
+
+using namespace cactusmast;
+using nlohmann::json;
+
+constexpr char kUsage[] = R"(cactusmast-load: open-loop load on loopback.
+
+Usage:
+  cactusmast-load jobs --entries=URLS --profile=NAME [options]
+  cactusmast-load bare --entries=URLS [options]
+
+Options:
+  --entries=URLS     Separated by commas; requests go to each in turn.
+  --profile=NAME     Profile of the jobs.
+  --jobs=N           Jobs or requests in all [default: 200].
+  --rate=X           Jobs a second [default: 20].
+  --tasks=N          Tasks in a job [default: 1].
+  --min-ms=X         Shortest run time on a server of speed 1 [default: 50].
+  --max-ms=X         Longest [default: 300].
+  --best-speed=X     Speed of the fastest server, for the ideal [default: 1].
+  --concurrency=N    Of bare requests [default: 16].
+  --seed=N           Of the random numbers [default: 1].
+  --prefix=TEXT      Of the idempotency keys [default: load].
+  --history=FILE     Append one line for each answer: key, state, run.
+
+bare asks /healthz as fast as the concurrency allows, as a yardstick for what
+HTTP alone costs. The result is one JSON object.
+)";
+
+constexpr long kMaxJobs = 200000;
+// A caller stops coming back after this.
+constexpr std::chrono::seconds kPatience{ 100 };
+
+struct job_plan
+{
+  std::string mBody;
+  double mIdealMs = 0;
+};
+
+class load_run
+{
+public:
+  explicit load_run(std::map<std::string, docopt::value> aArguments)
+    : mArguments(std::move(aArguments))
+    , mClient(256, 0)
+    , mRandom(uint64_t(mArguments["--seed"].asLong()))
+    , mLoop(g_main_loop_new(nullptr, FALSE))
+  {
+    std::string list = mArguments["--entries"].asString();
+    for (size_t start = 0; start <= list.size();) {
+      size_t comma = std::min(list.find(',', start), list.size());
+      mEntries.push_back(list.substr(start, comma - start));
+      if (mEntries.back().rfind("http://127.", 0) != 0) {
+        throw failure(error_code::BadRequest,
+                      "read arguments",
+                      mEntries.back(),
+                      "load goes to loopback addresses only");
+      }
+      start = comma + 1;
+    }
+    mJobs = std::min(kMaxJobs, mArguments["--jobs"].asLong());
+    if (mArguments["--history"].isString()) {
+      mHistory.open(mArguments["--history"].asString(), std::ios::app);
+    }
+  }
+
+  ~load_run() { g_main_loop_unref(mLoop); }
+
+  int Run()
+  {
+    mStarted = Now();
+    if (mArguments["bare"].asBool()) {
+      long wanted = mArguments["--concurrency"].asLong();
+      for (long i = 0; i < wanted; i++) {
+        SendBare();
+      }
+    } else {
+      Schedule();
+    }
+    g_main_loop_run(mLoop);
+    Report();
+    return mFailed == 0 ? 0 : 1;
+  }
+
+private:
+  double Number(const char* aName)
+  {
+    return std::stod(mArguments[aName].asString());
+  }
+
+  const std::string& NextEntry()
+  {
+    return mEntries[mNextEntry++ % mEntries.size()];
+  }
+
+  void SendBare()
+  {
+    if (mSent >= mJobs) {
+      return;
+    }
+    mSent++;
+    http_request request;
+    request.mMethod = "GET";
+    request.mUrl = NextEntry() + "/healthz";
+    mClient.Send(request, [this](const http_response& aResponse) {
+      mFailed += aResponse.mStatus == 200 ? 0 : 1;
+      SendBare();
+      Done();
+    });
+  }
+
+  job_plan MakeJob()
+  {
+    double least = std::log(std::max(0.01, Number("--min-ms")));
+    double most = std::log(std::max(0.01, Number("--max-ms")));
+    std::uniform_real_distribution<double> run(least, most);
+    job_plan made;
+    json body = { { "profile", mArguments["--profile"].asString() },
+                  { "tasks", json::array() } };
+    for (long i = 0; i < mArguments["--tasks"].asLong(); i++) {
+      double ms = std::exp(run(mRandom));
+      made.mIdealMs = std::max(made.mIdealMs, ms / Number("--best-speed"));
+      body["tasks"].push_back({ { "sleep_ms", ms } });
+    }
+    made.mBody = body.dump();
+    return made;
+  }
+
+  void Schedule()
+  {
+    std::exponential_distribution<double> gap(Number("--rate"));
+    double at = 0;
+    for (long i = 0; i < mJobs; i++) {
+      at += gap(mRandom);
+      struct later
+      {
+        load_run* mSelf;
+        long mNumber;
+      };
+      g_timeout_add_full(
+        G_PRIORITY_HIGH,
+        guint(at * 1000),
+        [](gpointer aData) -> gboolean {
+          std::unique_ptr<later> due(static_cast<later*>(aData));
+          due->mSelf->SendJob(due->mNumber);
+          return G_SOURCE_REMOVE;
+        },
+        new later{ this, i },
+        nullptr);
+    }
+  }
+
+  void SendJob(long aNumber)
+  {
+    job_plan plan = MakeJob();
+    std::string key =
+      mArguments["--prefix"].asString() + "-" + std::to_string(aNumber);
+    Post(key, plan, Now());
+  }
+
+  // A lost connection or a request to come back is followed by the same
+  // submission through another entry.
+  void Post(const std::string& aKey, const job_plan& aPlan, instant aSince)
+  {
+    http_request request;
+    request.mUrl = NextEntry() + "/v1/jobs?wait_ms=60000";
+    request.mBody = aPlan.mBody;
+    request.mHeaders = { { "Idempotency-Key", aKey } };
+    mClient.Send(request, [=](const http_response& aResponse) {
+      OnReply(aKey, aPlan, aSince, aResponse);
+    });
+  }
+
+  void OnReply(const std::string& aKey,
+               const job_plan& aPlan,
+               instant aSince,
+               const http_response& aResponse)
+  {
+    json body = json::parse(aResponse.mBody, nullptr, false);
+    std::string state = body.is_object() ? body.value("state", "") : "";
+    bool decided = state == "complete" || state == "failed";
+    if (!decided && Now() - aSince < kPatience) {
+      mRepeated++;
+      json error =
+        body.is_object() ? body.value("error", json::object()) : json::object();
+      Repeat(aKey, aPlan, aSince, error.value("retry_after_ms", 0u));
+      return;
+    }
+    if (mHistory.is_open()) {
+      mHistory << aKey << " " << aResponse.mBody << std::endl;
+    }
+    mFailed += state == "complete" ? 0 : 1;
+    double ms = double((Now() - aSince).count()) / 1000;
+    mResponses.push_back(ms);
+    if (aPlan.mIdealMs > 0) {
+      mRatios.push_back(ms / aPlan.mIdealMs);
+    }
+    Done();
+  }
+
+  void Repeat(const std::string& aKey,
+              const job_plan& aPlan,
+              instant aSince,
+              uint32_t aAfterMs)
+  {
+    struct later
+    {
+      load_run* mSelf;
+      std::string mKey;
+      job_plan mPlan;
+      instant mSince;
+    };
+    constexpr guint kPauseMs = 250;
+    g_timeout_add(
+      std::max(kPauseMs, guint(aAfterMs)),
+      [](gpointer aData) -> gboolean {
+        std::unique_ptr<later> due(static_cast<later*>(aData));
+        due->mSelf->Post(due->mKey, due->mPlan, due->mSince);
+        return G_SOURCE_REMOVE;
+      },
+      new later{ this, aKey, aPlan, aSince });
+  }
+
+  void Done()
+  {
+    if (++mDone == mJobs) {
+      g_main_loop_quit(mLoop);
+    }
+  }
+
+  static double Quantile(std::vector<double> aValues, double aShare)
+  {
+    if (aValues.empty()) {
+      return 0;
+    }
+    std::sort(aValues.begin(), aValues.end());
+    return aValues[size_t(aShare * double(aValues.size() - 1))];
+  }
+
+  void Report()
+  {
+    double seconds = double((Now() - mStarted).count()) / 1e6;
+    double sum = 0;
+    for (double ratio : mRatios) {
+      sum += ratio;
+    }
+    json report = { { "jobs", mJobs },
+                    { "seconds", seconds },
+                    { "per_second", double(mJobs) / seconds },
+                    { "not_complete", mFailed },
+                    { "repeated", mRepeated },
+                    { "response_p50_ms", Quantile(mResponses, 0.5) },
+                    { "response_p99_ms", Quantile(mResponses, 0.99) },
+                    { "ratio_mean",
+                      mRatios.empty() ? 0 : sum / double(mRatios.size()) },
+                    { "ratio_p50", Quantile(mRatios, 0.5) },
+                    { "ratio_p99", Quantile(mRatios, 0.99) } };
+    std::cout << report.dump() << "\n";
+  }
+
+  std::map<std::string, docopt::value> mArguments;
+  http_client mClient;
+  std::mt19937_64 mRandom;
+  GMainLoop* mLoop;
+  std::ofstream mHistory;
+  std::vector<std::string> mEntries;
+  size_t mNextEntry = 0;
+  long mJobs = 0;
+  long mSent = 0;
+  long mDone = 0;
+  long mFailed = 0;
+  long mRepeated = 0;
+  instant mStarted{};
+  std::vector<double> mResponses;
+  std::vector<double> mRatios;
+};
+
+} // namespace
+
+int
+main(int argc, char** argv)
+{
+  auto arguments = docopt::docopt(kUsage, { argv + 1, argv + argc }, true, "");
+  try {
+    return load_run(arguments).Run();
+  } catch (const failure& error) {
+    std::cerr << error.Step() << " (" << error.Peer() << "): " << error.what()
+              << "\n";
+    return 2;
+  }
+}
