--- a/Makefile
+++ b/Makefile
@@ -144,6 +144,17 @@
 	@CACTUSMAST_SEED=$(or $(SEED),1) CACTUSMAST_SOAK=$(or $(COUNT),1000000) \
 	  $(BUILD)/cactusmast-test -tc="random schedules of faults break*"
 
+FUZZERS := $(patsubst fuzz/%.cc,$(BUILD)/%,$(wildcard fuzz/*_fuzz.cc))
+
+# libFuzzer targets; run one as $(BUILD)/json_fuzz -max_total_time=60
+fuzzers: $(FUZZERS)
+
+$(BUILD)/%_fuzz: fuzz/%_fuzz.cc $(CORE_SOURCES)
+	@mkdir -p $(@D)
+	@echo FUZZ $<
+	@clang++ -std=c++17 -O1 -g -fsanitize=fuzzer,address,undefined -I. $^ \
+	  $(CORE_LIBS) -o $@
+
 generate: schema/wire.fbs
 	flatc --cpp --gen-object-api --object-suffix _msg --scoped-enums \
 	  --cpp-std c++17 -o generated $<
--- a/cactusmast/dispatcher.cc
+++ b/cactusmast/dispatcher.cc
@@ -17,6 +17,10 @@
 // them free, and an expected end this much earlier.
 constexpr double kHoldFreeShare = 0.1;
 constexpr double kHoldGain = 0.9;
+// Work that has waited for a quarter of its deadline goes before all that has
+// not, so that no priority starves another to its deadline.
+constexpr double kOverdueShare = 4;
+constexpr double kOverdueWeight = 1e6;
 constexpr milliseconds kMinRetryAfter{ 50 };
 
 double
@@ -349,7 +353,11 @@
 {
   double expected = std::max(1e-4, Seconds(mEstimator.Mean(aGroup.mLane)));
   double waited = Seconds(aNow - aGroup.mSince);
-  double priority = 1 + mLanes[aGroup.mLane].mProfile.mPriority;
+  const profile& rules = mLanes[aGroup.mLane].mProfile;
+  double priority = std::exp2(rules.mPriority);
+  if (waited * kOverdueShare > rules.mDeadlineMs / 1000.0) {
+    priority *= kOverdueWeight;
+  }
   return priority * (waited + expected) / (expected * expected);
 }
 
