--- a/bench/runner_model.cc
+++ b/bench/runner_model.cc
@@ -51,11 +51,20 @@
   return duration(int64_t(aSeconds * 1e6));
 }
 
+enum class model_event : uint8_t
+{
+  Arrive,
+  Reach, // the runner
+  End,
+  Learn, // the dispatcher hears of the end
+  Tick
+};
+
 struct timed_event
 {
   double mTime;
   uint64_t mOrder;
-  uint32_t mKind;
+  model_event mKind;
   uint32_t mTask;
 
   bool operator>(const timed_event& aOther) const
@@ -90,7 +99,9 @@
   run_result Run()
   {
     for (uint32_t i = 0; i < mWorkload.mTasks.size(); i++) {
-      Push(mWorkload.mTasks[i].mArrival + mOptions.mClientLatency, kArrive, i);
+      Push(mWorkload.mTasks[i].mArrival + mOptions.mClientLatency,
+           model_event::Arrive,
+           i);
     }
     Start();
     while (!mEvents.empty()) {
@@ -103,24 +114,15 @@
   }
 
 protected:
-  enum : uint32_t
-  {
-    kArrive,
-    kReach, // the runner
-    kEnd,
-    kLearn, // the dispatcher hears of the end
-    kTickEvent
-  };
-
   virtual void Start() {}
-  virtual void On(uint32_t aKind, uint32_t aTask) = 0;
+  virtual void On(model_event aKind, uint32_t aTask) = 0;
 
   double RoundTrip() const
   {
     return 2 * mOptions.mClientLatency + 2 * mOptions.mLatency;
   }
 
-  void Push(double aTime, uint32_t aKind, uint32_t aTask)
+  void Push(double aTime, model_event aKind, uint32_t aTask)
   {
     mEvents.push({ aTime, mOrder++, aKind, aTask });
   }
@@ -184,9 +186,9 @@
   }
 
 protected:
-  void On(uint32_t aKind, uint32_t aTask) override
+  void On(model_event aKind, uint32_t aTask) override
   {
-    if (aKind == kArrive) {
+    if (aKind == model_event::Arrive) {
       double rank = mShortestFirst ? mWorkload.mTasks[aTask].mWork : mNow;
       mQueue.emplace(rank, aTask);
     }
@@ -253,7 +255,7 @@
     row.mRunner = aChosen.mRunner;
     row.mEnd = aChosen.mEnd + 2 * mOptions.mLatency + mOptions.mClientLatency;
     row.mResponse = row.mEnd - mWorkload.mTasks[aTask].mArrival;
-    Push(aChosen.mEnd, kEnd, aTask);
+    Push(aChosen.mEnd, model_event::End, aTask);
   }
 
   bool mShortestFirst;
@@ -279,14 +281,14 @@
   }
 
 protected:
-  void On(uint32_t aKind, uint32_t aTask) override
+  void On(model_event aKind, uint32_t aTask) override
   {
-    if (aKind == kArrive) {
+    if (aKind == model_event::Arrive) {
       double delay = mOptions.mLatency;
       mTarget[aTask] = Choose(&delay);
       mResult.mMessages += 2;
-      Push(mNow + delay, kReach, aTask);
-    } else if (aKind == kReach) {
+      Push(mNow + delay, model_event::Reach, aTask);
+    } else if (aKind == model_event::Reach) {
       mQueues[mTarget[aTask]].push_back(aTask);
       Serve(mTarget[aTask]);
     } else {
@@ -346,7 +348,7 @@
       row.mStart = mNow;
       row.mRun = RunTime(task, aRunner);
       row.mFailed = Fails(aRunner);
-      Push(mNow + row.mRun, kEnd, task);
+      Push(mNow + row.mRun, model_event::End, task);
     }
   }
 
@@ -401,32 +403,32 @@
       mDispatcher.SetAccepting(mDispatcher.AddWorker(traits), true);
     }
     double end = mWorkload.mTasks.back().mArrival + 600;
-    Push(kTick, kTickEvent, 0);
+    Push(kTick, model_event::Tick, 0);
     mLastTick = end;
   }
 
-  void On(uint32_t aKind, uint32_t aTask) override
+  void On(model_event aKind, uint32_t aTask) override
   {
     switch (aKind) {
-      case kArrive:
+      case model_event::Arrive:
         Arrive(aTask);
         break;
-      case kReach: {
+      case model_event::Reach: {
         task_outcome_row& row = mResult.mTasks[aTask];
         row.mStart = mNow;
         row.mRun = RunTime(aTask, row.mRunner);
         row.mFailed = Fails(row.mRunner);
-        Push(mNow + row.mRun, kEnd, aTask);
+        Push(mNow + row.mRun, model_event::End, aTask);
         return;
       }
-      case kEnd:
+      case model_event::End:
         mResult.mMessages++;
         Finish(aTask,
                mResult.mTasks[aTask].mRunner,
                mOptions.mLatency + Hop(aTask) + mOptions.mClientLatency);
-        Push(mNow + mOptions.mLatency, kLearn, aTask);
+        Push(mNow + mOptions.mLatency, model_event::Learn, aTask);
         return;
-      case kLearn:
+      case model_event::Learn:
         Learn(aTask);
         break;
       default:
@@ -434,7 +436,7 @@
           mDispatcher.SetAccepting(0, false);
         }
         if (mNow < mLastTick) {
-          Push(mNow + kTick, kTickEvent, 0);
+          Push(mNow + kTick, model_event::Tick, 0);
         }
         break;
     }
@@ -461,7 +463,7 @@
     // The passed-on ones arrive a little later.
     if (Hop(aTask) > 0 && !mStarted[aTask].mPassed) {
       mStarted[aTask].mPassed = true;
-      Push(mNow + mOptions.mLatency, kArrive, aTask);
+      Push(mNow + mOptions.mLatency, model_event::Arrive, aTask);
       return;
     }
     const model_task& task = mWorkload.mTasks[aTask];
@@ -507,7 +509,7 @@
       mStarted[task].mAssignment = next;
       mResult.mTasks[task].mRunner = next.mWorker;
       mResult.mMessages++;
-      Push(mNow + mOptions.mLatency, kReach, task);
+      Push(mNow + mOptions.mLatency, model_event::Reach, task);
     }
   }
 
