--- /dev/null
+++ b/cactusmast/shard_owner_accept.cc
@@ -0,0 +1,427 @@
+// What callers ask of shard_owner: acceptance of jobs, new ones and those of
+// earlier owners, watching and cancelling.
+
+#include <algorithm>
+#include <string>
+
+#include "cactusmast/shard_owner.h"
+
+namespace cactusmast {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kDoubtRetry{ 1500 };
+
+} // namespace
+
+void
+shard_owner::Submit(submission aSubmission, const waiter& aWaiter, instant aNow)
+{
+  job_handle known = 0;
+  if (mSafeguards.mDeduplicateJobs && mJobs.Find(aSubmission.mId, &known)) {
+    const job_row& row = mJobs.At(known);
+    if (row.mFingerprint != aSubmission.Fingerprint()) {
+      Refuse(aWaiter,
+             failure(error_code::Conflict,
+                     "accept",
+                     "caller",
+                     "the key was used for a submission with other content"));
+      return;
+    }
+    if (row.mState != job_state::Running) {
+      AnswerFrom(row, aWaiter);
+    } else {
+      AddWaiter(known, aWaiter);
+    }
+    return;
+  }
+  if (!Complete()) {
+    if (mHeld.size() >= mOptions.mMaxHeld) {
+      Refuse(aWaiter,
+             failure(error_code::Overloaded,
+                     "accept",
+                     "",
+                     "too many submissions wait for start records",
+                     run_state::Unknown,
+                     std::chrono::seconds(2)));
+      return;
+    }
+    instant until = std::max(aNow, mClaimedAt + mOptions.mHold);
+    mHeld.push_back({ std::move(aSubmission), aWaiter, until });
+    return;
+  }
+  Accept(std::move(aSubmission), aWaiter, aNow);
+}
+
+void
+shard_owner::ReleaseHeld(instant aNow)
+{
+  while (!mHeld.empty()) {
+    held_submission& front = mHeld.front();
+    bool ready = Complete();
+    if (!ready && aNow < front.mUntil) {
+      return;
+    }
+    held_submission held = std::move(front);
+    mHeld.pop_front();
+    if (ready) {
+      Submit(std::move(held.mSubmission), held.mWaiter, aNow);
+      continue;
+    }
+    // An earlier owner may have accepted this key and started its tasks on a
+    // worker that cannot be asked. Starting them again could run them twice.
+    NoteDoubtful(held.mSubmission.mId, aNow);
+    // The worker may return at any moment, so the caller is asked back soon.
+    auto spread = milliseconds(
+      int64_t(double(kDoubtRetry.count()) * mRandom.NextUniform()));
+    Refuse(held.mWaiter,
+           failure(error_code::InDoubt,
+                   "accept",
+                   mMissing.front().mName,
+                   "an earlier submission under this key may have started on "
+                   "a worker that does not answer",
+                   run_state::Unknown,
+                   kDoubtRetry + spread));
+  }
+}
+
+void
+shard_owner::NoteDoubtful(const job_id& aId, instant aNow)
+{
+  constexpr size_t kMaxDoubtful = 100000;
+  if (mDoubtful.size() >= kMaxDoubtful) {
+    // Make room by dropping those that nobody asked for in a retention time.
+    for (auto entry = mDoubtful.begin(); entry != mDoubtful.end();) {
+      bool old = entry->second + mOptions.mJobs.mRetention <= aNow;
+      entry = old ? mDoubtful.erase(entry) : std::next(entry);
+    }
+  }
+  mDoubtful[aId] = aNow;
+}
+
+bool
+shard_owner::IsDoubtful(const job_id& aId) const
+{
+  return mDoubtExpired && mDoubtful.count(aId) > 0;
+}
+
+// The workers that could have told are gone for good. What is not known from
+// other records may have started there, and must not start again.
+void
+shard_owner::SettleDoubtful(job_handle aJob, instant aNow)
+{
+  mDoubtful.erase(mJobs.At(aJob).mSubmission.mId);
+  uint32_t count = uint32_t(mJobs.At(aJob).mTasks.size());
+  for (uint32_t i = 0; i < count; i++) {
+    if (mJobs.At(aJob).mTasks[i].mState == task_state::Queued) {
+      SettleTask(aJob, i, run_state::Unknown, task_reason::WorkerLost, aNow);
+    }
+  }
+}
+
+const profile&
+shard_owner::ProfileFor(const submission& aSubmission, bool aKnownJob)
+{
+  auto found = mConfig.mProfiles.find(aSubmission.mProfile);
+  if (found == mConfig.mProfiles.end()) {
+    throw failure(error_code::NotFound,
+                  "accept",
+                  "caller",
+                  "no profile " + aSubmission.mProfile);
+  }
+  if (found->second.mRetired && !aKnownJob) {
+    throw failure(error_code::NotFound,
+                  "accept",
+                  "caller",
+                  "profile " + aSubmission.mProfile + " is retired");
+  }
+  return found->second;
+}
+
+uint32_t
+shard_owner::TeamFor(const std::string& aName)
+{
+  auto found = mConfig.mTeams.find(aName);
+  if (found != mConfig.mTeams.end()) {
+    return mDispatcher.SetTeam(found->second);
+  }
+  team unlisted;
+  unlisted.mName = aName;
+  return mDispatcher.SetTeam(unlisted);
+}
+
+void
+shard_owner::CheckSatisfiable(uint32_t aLane, instant aNow)
+{
+  if (mDispatcher.Satisfiable(aLane)) {
+    return;
+  }
+  const profile& needs = mDispatcher.LaneProfile(aLane);
+  for (const auto& [name, absent] : mAbsent) {
+    bool recent = aNow - absent.second < mOptions.mJobs.mRetention;
+    if (recent && dispatcher::Fits(absent.first, needs)) {
+      return; // it may come back within the deadline
+    }
+  }
+  throw failure(error_code::Unsatisfiable,
+                "accept",
+                "",
+                "no known backend server runs service " + needs.mService +
+                  " with " + std::to_string(needs.mCpus) + " cpus, " +
+                  std::to_string(needs.mMemoryMb) + " MB and " +
+                  std::to_string(needs.mAccelerators) + " accelerators");
+}
+
+void
+shard_owner::Accept(submission aSubmission, const waiter& aWaiter, instant aNow)
+{
+  job_id id = aSubmission.mId;
+  bool doubtful = IsDoubtful(id);
+  bool recovered =
+    doubtful || mRecovered.count(id) > 0 || mInherited.count(id) > 0;
+  uint32_t count = uint32_t(aSubmission.mPayloads.size());
+  try {
+    const profile& rules = ProfileFor(aSubmission, recovered);
+    uint32_t lane = mDispatcher.SetLane(rules);
+    uint32_t teamIndex = TeamFor(aSubmission.mTeam);
+    duration deadline = milliseconds(rules.mDeadlineMs);
+    if (aSubmission.mDeadline.count() > 0) {
+      deadline = std::min(deadline, aSubmission.mDeadline);
+    }
+    aSubmission.mDeadline = deadline;
+    bool discovering = aNow - mClaimedAt < mOptions.mDiscovery;
+    if (!recovered) {
+      if (!discovering) {
+        CheckSatisfiable(lane, aNow);
+      }
+      MakeRoom(lane, teamIndex, count, aNow);
+      mDispatcher.Admit(
+        lane, teamIndex, count, deadline, mRandom.NextUniform());
+    }
+    job_handle job = mJobs.Add(std::move(aSubmission), aNow);
+    job_row& row = mJobs.At(job);
+    row.mLane = lane;
+    row.mTeam = teamIndex;
+    row.mPriority = rules.mPriority;
+    mCounters.mJobsAccepted++;
+    AddWaiter(job, aWaiter);
+    if (recovered && RestoreTasks(job, aNow)) {
+      return; // nothing is left to start or to wait for
+    }
+    if (doubtful) {
+      SettleDoubtful(job, aNow);
+    }
+    uint32_t queued = 0;
+    for (const task_entry& task : row.mTasks) {
+      queued += task.mState == task_state::Queued ? 1 : 0;
+    }
+    mDispatcher.Enqueue(job, lane, teamIndex, queued, aNow);
+    if (!mDispatcher.Satisfiable(lane)) {
+      mUnsatisfiable.push_back(job);
+    }
+  } catch (const failure& error) {
+    Refuse(aWaiter, error);
+  }
+}
+
+void
+shard_owner::MakeRoom(uint32_t aLane,
+                      uint32_t aTeam,
+                      uint32_t aCount,
+                      instant aNow)
+{
+  uint32_t queued = mDispatcher.Queue().QueuedOfTeam(aTeam);
+  uint32_t limit = mDispatcher.TeamQueueLimit(aTeam);
+  if (queued + aCount <= limit) {
+    return;
+  }
+  uint32_t missing = queued + aCount - limit;
+  for (job_handle victim : mDispatcher.ShedFor(aLane, aTeam, missing)) {
+    SettleQueued(victim, task_reason::Shed, aNow);
+  }
+}
+
+// Fills in what is known of the job's earlier submission. True when that
+// decided the job.
+bool
+shard_owner::RestoreTasks(job_handle aJob, instant aNow)
+{
+  job_id id = mJobs.At(aJob).mSubmission.mId;
+  auto inherited = mInherited.find(id);
+  if (inherited != mInherited.end()) {
+    for (wire::task_result_msg& result : inherited->second.tasks) {
+      SettleResult(aJob, std::move(result), aNow);
+    }
+    mInherited.erase(inherited);
+  }
+  auto recovered = mRecovered.find(id);
+  if (recovered != mRecovered.end()) {
+    std::vector<recovered_task> tasks = std::move(recovered->second);
+    mRecovered.erase(recovered);
+    bool abandoned = false;
+    for (const recovered_task& task : tasks) {
+      if (task.mState == record_state::Abandoned) {
+        abandoned = true;
+      } else {
+        RestoreTask(aJob, task, aNow);
+      }
+    }
+    FetchRestored(aJob);
+    if (abandoned) {
+      SettleQueued(aJob, task_reason::Cancelled, aNow);
+    }
+  }
+  return mJobs.At(aJob).mState != job_state::Running;
+}
+
+void
+shard_owner::RestoreTask(job_handle aJob,
+                         const recovered_task& aTask,
+                         instant aNow)
+{
+  job_row& row = mJobs.At(aJob);
+  if (aTask.mIndex >= row.mTasks.size() ||
+      row.mTasks[aTask.mIndex].mState == task_state::Settled) {
+    return;
+  }
+  auto worker = mWorkers.find(aTask.mWorker);
+  if (worker == mWorkers.end()) {
+    bool ended = aTask.mState == record_state::Finished;
+    SettleTask(aJob,
+               aTask.mIndex,
+               ended ? run_state::Run : run_state::Unknown,
+               ended ? task_reason::ResultGone : task_reason::WorkerLost,
+               aNow);
+    return;
+  }
+  row.mTasks[aTask.mIndex].mState = task_state::Dispatched;
+  task_ref ref = RefOf(row.mSubmission.mId, aTask.mIndex);
+  worker->second.mRestored[ref] = aJob;
+}
+
+// Asks the guards for the results of the job's restored tasks. A result may
+// have come before the job did, and was not kept then; the guard sends it
+// again, or when the task ends.
+void
+shard_owner::FetchRestored(job_handle aJob)
+{
+  for (auto& [name, row] : mWorkers) {
+    wire::fetch_msg ask;
+    for (const auto& [ref, job] : row.mRestored) {
+      if (job == aJob) {
+        ask.refs.push_back(ref);
+      }
+    }
+    if (!ask.refs.empty() && row.mPeer != 0) {
+      mCounters.mFetchMessages++;
+      mNetwork.Send(row.mPeer, MakeMessage(std::move(ask)));
+    }
+  }
+}
+
+void
+shard_owner::FailUnsatisfiable(instant aNow)
+{
+  if (mUnsatisfiable.empty() || aNow - mClaimedAt < mOptions.mDiscovery) {
+    return;
+  }
+  std::vector<job_handle> candidates = std::move(mUnsatisfiable);
+  mUnsatisfiable.clear();
+  for (job_handle job : candidates) {
+    if (!mJobs.Has(job) || mJobs.At(job).mState != job_state::Running) {
+      continue;
+    }
+    try {
+      CheckSatisfiable(mJobs.At(job).mLane, aNow);
+    } catch (const failure&) {
+      SettleQueued(job, task_reason::NeverSatisfied, aNow);
+    }
+  }
+}
+
+void
+shard_owner::Watch(const std::string& aTeam,
+                   const job_id& aId,
+                   const waiter& aWaiter,
+                   instant aNow)
+{
+  job_handle job = 0;
+  bool found =
+    mJobs.Find(aId, &job) && mJobs.At(job).mSubmission.mTeam == aTeam;
+  if (found) {
+    const job_row& row = mJobs.At(job);
+    if (row.mState == job_state::Running && aWaiter.mUntil > aNow) {
+      AddWaiter(job, aWaiter);
+    } else {
+      AnswerFrom(row, aWaiter);
+    }
+    return;
+  }
+  bool known = mRecovered.count(aId) > 0 || !Complete();
+  if (known) {
+    Refuse(aWaiter,
+           failure(error_code::InDoubt,
+                   "find job",
+                   "",
+                   "the entry that held this job is gone; submit it again "
+                   "under the same key to have it completed",
+                   run_state::Unknown,
+                   std::chrono::seconds(1)));
+    return;
+  }
+  if (aNow - mClaimedAt < mOptions.mHold) {
+    // The previous owner may be about to submit it here.
+    Refuse(aWaiter,
+           failure(error_code::Unavailable, kRouteStep, "", "just claimed"));
+    return;
+  }
+  Refuse(aWaiter,
+         failure(error_code::NotFound, "find job", "caller", "no such job"));
+}
+
+void
+shard_owner::Cancel(const std::string& aTeam,
+                    const job_id& aId,
+                    const waiter& aWaiter,
+                    instant aNow)
+{
+  job_handle job = 0;
+  bool found =
+    mJobs.Find(aId, &job) && mJobs.At(job).mSubmission.mTeam == aTeam;
+  if (!found) {
+    Watch(aTeam, aId, aWaiter, aNow);
+    return;
+  }
+  if (mJobs.At(job).mState != job_state::Running) {
+    AnswerFrom(mJobs.At(job), aWaiter);
+    return;
+  }
+  mJobs.At(job).mCancelled = true;
+  AddWaiter(job, aWaiter);
+  mEvents.Emit(event_code::JobCancelled, { { "job", aId.Text() } });
+  SettleQueued(job, task_reason::Cancelled, aNow);
+  if (mJobs.At(job).mState != job_state::Running) {
+    return;
+  }
+  // Only what was dispatched costs a message, one for each worker.
+  for (auto& [name, row] : mWorkers) {
+    wire::cancel_tasks_msg cancel;
+    for (const auto& [ref, flown] : row.mFlights) {
+      if (flown.mJob == job) {
+        cancel.refs.push_back(ref);
+      }
+    }
+    for (const auto& [ref, restored] : row.mRestored) {
+      if (restored == job) {
+        cancel.refs.push_back(ref);
+      }
+    }
+    if (!cancel.refs.empty() && row.mPeer != 0) {
+      mCounters.mCancelMessages++;
+      mNetwork.Send(row.mPeer, MakeMessage(std::move(cancel)));
+    }
+  }
+}
+
+} // namespace cactusmast
--- /dev/null
+++ b/cactusmast/shard_owner_records.cc
@@ -0,0 +1,473 @@
+// Start records in shard_owner: who may hold them, what they tell a new owner,
+// and what is passed on when a guard or this owner stops.
+
+#include <algorithm>
+#include <string>
+
+#include "cactusmast/shard_owner.h"
+
+namespace cactusmast {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr size_t kHandoverTasks = 5000;
+// Guards that keep a record that concerns no start of their own.
+constexpr uint32_t kCopies = 2;
+
+} // namespace
+
+void
+shard_owner::OnRecords(peer_id aPeer,
+                       const wire::records_msg& aRecords,
+                       instant aNow)
+{
+  worker_row* row = FindByPeer(aPeer);
+  if (row == nullptr || aRecords.epoch != mEpoch) {
+    return;
+  }
+  row->mLastHeard = aNow;
+  if (aRecords.clean_stop) {
+    PassRecordsOn(*row, aRecords);
+    if (aRecords.last) {
+      OnCleanStop(*row, aNow);
+    }
+    return;
+  }
+  for (const wire::record_summary& item : aRecords.items) {
+    auto state = record_state(item.state());
+    if (state == record_state::Tombstone ||
+        row->mFlights.count(item.ref()) > 0) {
+      continue;
+    }
+    if (mSafeguards.mUseRecords && !MergeRecord(item, *row, aNow)) {
+      mRecovered[JobOf(item.ref())].push_back(
+        { item.ref().index(), state, item.has_result(), row->mIdentity.mName });
+    }
+    if (state == record_state::Running && !row->mRecordsIn) {
+      row->mAdopted[item.ref()] = true;
+      mDispatcher.AdoptRunning(row->mHandle);
+    }
+  }
+  if (!aRecords.last) {
+    return;
+  }
+  row->mRecordsIn = true;
+  auto same = [row](const known_worker& aKnown) {
+    return aKnown.mName == row->mIdentity.mName &&
+           aKnown.mIncarnation == row->mIdentity.mIncarnation;
+  };
+  mMissing.erase(std::remove_if(mMissing.begin(), mMissing.end(), same),
+                 mMissing.end());
+  UpdateAccepting(*row, aNow);
+  CheckComplete(aNow);
+}
+
+// A record of a task that stands as queued here: the job came to this owner
+// before the record did. True when the job is present.
+bool
+shard_owner::MergeRecord(const wire::record_summary& aRecord,
+                         const worker_row& aFrom,
+                         instant aNow)
+{
+  job_handle job = 0;
+  if (!mJobs.Find(JobOf(aRecord.ref()), &job)) {
+    return false;
+  }
+  job_row& present = mJobs.At(job);
+  uint32_t index = aRecord.ref().index();
+  if (index < present.mTasks.size() &&
+      present.mTasks[index].mState == task_state::Queued) {
+    RestoreTask(job,
+                { index,
+                  record_state(aRecord.state()),
+                  aRecord.has_result(),
+                  aFrom.mIdentity.mName },
+                aNow);
+    FetchRestored(job);
+  }
+  return true;
+}
+
+// A guard that stops as planned has no running tasks, and its results are
+// here. Its start records must outlive it, though: if this process fails
+// before their retention ends, the next owner would find no trace of those
+// starts. So other guards keep them from now on, and report them with their
+// own.
+void
+shard_owner::PassRecordsOn(const worker_row& aFrom,
+                           const wire::records_msg& aRecords)
+{
+  for (const std::string& copier : Copiers(aFrom)) {
+    mNetwork.Send(mWorkers[copier].mPeer,
+                  MakeMessage(wire::records_msg(aRecords)));
+  }
+}
+
+std::vector<std::string>
+shard_owner::Copiers(const worker_row& aFrom) const
+{
+  std::vector<std::string> copiers;
+  for (const auto& [name, row] : mWorkers) {
+    bool able = &row != &aFrom && row.mPeer != 0 && row.mLeased &&
+                !row.mDraining && copiers.size() < kCopies;
+    if (able) {
+      copiers.push_back(name);
+    }
+  }
+  return copiers;
+}
+
+void
+shard_owner::NoteAbandoned(const job_row& aRow)
+{
+  bool some = std::any_of(
+    aRow.mResults.begin(), aRow.mResults.end(), [](const auto& aResult) {
+      return aResult.outcome != uint8_t(task_outcome::Succeeded) &&
+             aResult.run == uint8_t(run_state::NotRun);
+    });
+  if (some && mSafeguards.mRecordAbandoned) {
+    mAbandoned.push_back(RefOf(aRow.mSubmission.mId, kWholeJob));
+  }
+}
+
+// An answer with tasks that did not run must stay true: were this owner lost
+// and the job submitted again, the next one would find no record of them and
+// start them. One message for any number of jobs keeps that from happening.
+void
+shard_owner::SendAbandoned()
+{
+  if (mAbandoned.empty()) {
+    return;
+  }
+  uint32_t sent = 0;
+  for (const auto& [name, row] : mWorkers) {
+    if (row.mPeer == 0 || !row.mLeased || sent == kCopies) {
+      continue;
+    }
+    wire::abandon_msg abandon;
+    abandon.epoch = mEpoch;
+    abandon.refs = mAbandoned;
+    mCounters.mAbandonMessages++;
+    mNetwork.Send(row.mPeer, MakeMessage(std::move(abandon)));
+    sent++;
+  }
+  mAbandoned.clear();
+}
+
+void
+shard_owner::ForgetRecordsAt(const std::string& aWorker)
+{
+  for (auto& [id, tasks] : mRecovered) {
+    for (recovered_task& task : tasks) {
+      if (task.mWorker == aWorker) {
+        task.mWorker.clear();
+      }
+    }
+  }
+}
+
+void
+shard_owner::OnCleanStop(worker_row& aRow, instant aNow)
+{
+  aRow.mStopping = true;
+  aRow.mAwaitedCopies.clear();
+  for (const std::string& copier : Copiers(aRow)) {
+    // Confirming this request, which follows the records on the same link,
+    // confirms them as well.
+    worker_row& keeper = mWorkers[copier];
+    RequestLease(keeper, aNow);
+    aRow.mAwaitedCopies[copier] = keeper.mSequence;
+  }
+  if (aRow.mAwaitedCopies.empty()) {
+    FinishCleanStop(std::string(aRow.mIdentity.mName), false, aNow);
+  }
+}
+
+void
+shard_owner::OnCopyConfirmed(const std::string& aCopier,
+                             uint64_t aSequence,
+                             instant aNow)
+{
+  std::vector<std::string> kept;
+  std::vector<std::string> lost;
+  for (auto& [name, row] : mWorkers) {
+    auto awaited = row.mAwaitedCopies.find(aCopier);
+    if (!row.mStopping || awaited == row.mAwaitedCopies.end()) {
+      continue;
+    }
+    if (aSequence >= awaited->second) {
+      kept.push_back(name);
+    } else if (aSequence == 0) {
+      row.mAwaitedCopies.erase(awaited);
+      if (row.mAwaitedCopies.empty()) {
+        lost.push_back(name);
+      }
+    }
+  }
+  for (const std::string& name : kept) {
+    FinishCleanStop(name, true, aNow);
+  }
+  for (const std::string& name : lost) {
+    FinishCleanStop(name, false, aNow);
+  }
+}
+
+void
+shard_owner::FinishCleanStop(const std::string& aName, bool aKept, instant aNow)
+{
+  worker_row& row = mWorkers[aName];
+  wire::lease_release_msg release;
+  release.shard = mOptions.mShard;
+  release.epoch = mEpoch;
+  release.records_kept = aKept;
+  mNetwork.Send(row.mPeer, MakeMessage(std::move(release)));
+  if (!aKept) {
+    // It was the only one: should this owner fail, nobody can tell what ran
+    // there, and the next owner must know that.
+    mRosterGone.push_back({ aName, row.mIdentity.mIncarnation, aNow });
+  }
+  ForgetRecordsAt(aName);
+  mEvents.Emit(event_code::WorkerLeft,
+               { { "worker", aName }, { "kept", aKept ? "true" : "false" } });
+  mAbsent[aName] = { row.mTraits, aNow };
+  RemoveWorker(aName);
+}
+
+void
+shard_owner::CheckComplete(instant aNow)
+{
+  auto expired = [&](const known_worker& aKnown) {
+    return aKnown.mLastAlive + mOptions.mJobs.mRetention <= aNow;
+  };
+  bool before = mMissing.empty();
+  size_t missing = mMissing.size();
+  mMissing.erase(std::remove_if(mMissing.begin(), mMissing.end(), expired),
+                 mMissing.end());
+  mDoubtExpired = mDoubtExpired || mMissing.size() < missing;
+  mRosterGone.erase(
+    std::remove_if(mRosterGone.begin(), mRosterGone.end(), expired),
+    mRosterGone.end());
+  if (!before && mMissing.empty()) {
+    mEvents.Emit(event_code::ShardComplete,
+                 { { "shard", std::to_string(mOptions.mShard) } });
+  }
+  if (mMissing.empty() && !mDoubtExpired) {
+    mDoubtful.clear();
+  }
+  if (!mMissing.empty() && !mDoubtReported &&
+      aNow - mClaimedAt >= mOptions.mHold) {
+    mDoubtReported = true;
+    mEvents.Emit(event_code::ShardInDoubt,
+                 { { "shard", std::to_string(mOptions.mShard) },
+                   { "worker", mMissing.front().mName } });
+  }
+}
+
+std::vector<known_worker>
+shard_owner::Roster() const
+{
+  std::vector<known_worker> roster = mRosterGone;
+  for (const known_worker& missing : mMissing) {
+    if (missing.mName != kUnlistedWorker) {
+      roster.push_back(missing);
+    }
+  }
+  for (const auto& [name, row] : mWorkers) {
+    roster.push_back({ name, row.mIdentity.mIncarnation, row.mLastHeard });
+  }
+  return roster;
+}
+
+void
+shard_owner::OnRosterRead(const std::vector<known_worker>& aListed,
+                          instant aNow)
+{
+  auto unlisted = std::find_if(
+    mMissing.begin(), mMissing.end(), [](const known_worker& aOne) {
+      return aOne.mName == kUnlistedWorker;
+    });
+  if (unlisted == mMissing.end()) {
+    return;
+  }
+  mMissing.erase(unlisted);
+  for (const known_worker& listed : aListed) {
+    auto present = mWorkers.find(listed.mName);
+    bool reported =
+      present != mWorkers.end() && present->second.mRecordsIn &&
+      present->second.mIdentity.mIncarnation == listed.mIncarnation;
+    bool known = std::any_of(
+      mMissing.begin(), mMissing.end(), [&](const known_worker& aOne) {
+        return aOne.mName == listed.mName &&
+               aOne.mIncarnation == listed.mIncarnation;
+      });
+    if (!reported && !known) {
+      mMissing.push_back(listed);
+    }
+  }
+  CheckComplete(aNow);
+}
+
+void
+shard_owner::OnRosterStored(uint64_t aVersion)
+{
+  mStoredRoster = std::max(mStoredRoster, aVersion);
+}
+
+void
+shard_owner::OnHandover(const wire::handover_msg& aPart, instant aNow)
+{
+  for (const wire::decided_job_msg& job : aPart.answers) {
+    job_id id{ job.job_hi, job.job_lo };
+    job_handle present = 0;
+    if (mJobs.Find(id, &present)) {
+      continue;
+    }
+    if (job.state == uint8_t(job_state::Running)) {
+      mInherited[id] = job;
+    } else {
+      mJobs.AddInherited(job, aNow);
+    }
+  }
+  for (const wire::record_summary& item : aPart.starts) {
+    mRecovered[JobOf(item.ref())].push_back(
+      { item.ref().index(), record_state(item.state()), false, "" });
+  }
+  if (!aPart.last) {
+    return;
+  }
+  if (aPart.epoch + 1 != mEpoch || mEverLeased) {
+    // The sender is not this owner's predecessor: it was stopped for a while,
+    // and does not know what was started by those who came in between.
+    return;
+  }
+  // The previous owner knew all starts; only what it lists is still missing.
+  mMissing.clear();
+  for (const wire::listed_worker_msg& listed : aPart.workers) {
+    known_worker worker{ listed.name,
+                         listed.incarnation,
+                         aNow - milliseconds(listed.age_ms) };
+    auto present = mWorkers.find(listed.name);
+    bool reported =
+      present != mWorkers.end() && present->second.mRecordsIn &&
+      present->second.mIdentity.mIncarnation == listed.incarnation;
+    if (!listed.needed) {
+      mRosterGone.push_back(std::move(worker));
+    } else if (!reported) {
+      mMissing.push_back(std::move(worker));
+    }
+  }
+  CheckComplete(aNow);
+}
+
+void
+shard_owner::ListWorkers(wire::handover_msg* aPart, instant aNow) const
+{
+  auto add = [&](const known_worker& aWorker, bool aNeeded) {
+    wire::listed_worker_msg listed;
+    listed.name = aWorker.mName;
+    listed.incarnation = aWorker.mIncarnation;
+    auto age =
+      std::chrono::duration_cast<milliseconds>(aNow - aWorker.mLastAlive);
+    listed.age_ms = uint64_t(std::max<int64_t>(0, age.count()));
+    listed.needed = aNeeded;
+    aPart->workers.push_back(std::move(listed));
+  };
+  for (const known_worker& missing : mMissing) {
+    add(missing, true);
+  }
+  for (const known_worker& gone : mRosterGone) {
+    add(gone, false);
+  }
+  for (const auto& [name, row] : mWorkers) {
+    add({ name, row.mIdentity.mIncarnation, row.mLastHeard }, row.mPeer != 0);
+  }
+}
+
+void
+shard_owner::HandOver(peer_id aSuccessor, instant aNow)
+{
+  wire::handover_msg part;
+  size_t tasks = 0;
+  auto flush = [&](bool aLast) {
+    part.shard = mOptions.mShard;
+    part.epoch = mEpoch;
+    part.last = aLast;
+    mNetwork.Send(aSuccessor, MakeMessage(std::move(part)));
+    part = wire::handover_msg();
+    tasks = 0;
+  };
+  for (const auto& [handle, row] : mJobs.Rows()) {
+    wire::decided_job_msg job;
+    job.job_hi = row.mSubmission.mId.mHi;
+    job.job_lo = row.mSubmission.mId.mLo;
+    job.team = row.mSubmission.mTeam;
+    job.fingerprint = row.mFingerprint;
+    job.state = uint8_t(row.mState);
+    for (uint32_t i = 0; i < row.mTasks.size(); i++) {
+      if (row.mTasks[i].mState == task_state::Settled) {
+        job.tasks.push_back(row.mResults[i]);
+      }
+    }
+    tasks += 1 + job.tasks.size();
+    part.answers.push_back(std::move(job));
+    if (tasks >= kHandoverTasks) {
+      flush(false);
+    }
+  }
+  for (const auto& [id, recovered] : mRecovered) {
+    for (const recovered_task& task : recovered) {
+      if (task.mWorker.empty()) {
+        part.starts.emplace_back(
+          RefOf(id, task.mIndex), uint8_t(task.mState), false);
+      }
+    }
+  }
+  for (const auto& [name, row] : mWorkers) {
+    // Nobody can be asked about these at present: they count as started.
+    for (const auto& [ref, flown] : row.mFlights) {
+      if (row.mPeer == 0) {
+        part.starts.emplace_back(ref, uint8_t(record_state::Running), false);
+      }
+    }
+  }
+  ListWorkers(&part, aNow);
+  flush(true);
+}
+
+std::vector<shard_owner::moved_job>
+shard_owner::StepDown(peer_id aSuccessor, instant aNow)
+{
+  if (aSuccessor != 0) {
+    HandOver(aSuccessor, aNow);
+  }
+  std::vector<moved_job> moved;
+  for (auto& [handle, row] : mJobs.Rows()) {
+    if (row.mState != job_state::Running) {
+      continue;
+    }
+    submission again = row.mSubmission;
+    again.mDeadline = std::max(duration(0), row.mDeadline - aNow);
+    moved.push_back({ std::move(again), std::move(row.mWaiters) });
+  }
+  for (held_submission& held : mHeld) {
+    moved.push_back({ std::move(held.mSubmission), { held.mWaiter } });
+  }
+  mHeld.clear();
+  for (auto& [name, row] : mWorkers) {
+    if (row.mPeer == 0) {
+      continue;
+    }
+    row.mBatch.clear();
+    wire::lease_release_msg release;
+    release.shard = mOptions.mShard;
+    release.epoch = mEpoch;
+    mNetwork.Send(row.mPeer, MakeMessage(std::move(release)));
+  }
+  mEvents.Emit(event_code::ShardReleased,
+               { { "shard", std::to_string(mOptions.mShard) },
+                 { "moved_jobs", std::to_string(moved.size()) } });
+  return moved;
+}
+
+} // namespace cactusmast
