--- a/cactusmast/entry_node.cc
+++ b/cactusmast/entry_node.cc
@@ -281,13 +281,7 @@
                   duration aWait,
                   instant aNow)
 {
-  request_row row;
-  row.mCaller = aCaller;
-  row.mKind = request_kind::Watch;
-  row.mTeam = aTeam;
-  row.mId = aId;
-  row.mUntil = aNow + aWait;
-  AddRequest(std::move(row), aNow);
+  Follow(request_kind::Watch, aCaller, aTeam, aId, aWait, aNow);
 }
 
 void
@@ -296,10 +290,21 @@
                    const job_id& aId,
                    duration aWait,
                    instant aNow)
+{
+  Follow(request_kind::Cancel, aCaller, aTeam, aId, aWait, aNow);
+}
+
+void
+entry_node::Follow(request_kind aKind,
+                   caller_id aCaller,
+                   const std::string& aTeam,
+                   const job_id& aId,
+                   duration aWait,
+                   instant aNow)
 {
   request_row row;
   row.mCaller = aCaller;
-  row.mKind = request_kind::Cancel;
+  row.mKind = aKind;
   row.mTeam = aTeam;
   row.mId = aId;
   row.mUntil = aNow + aWait;
--- a/cactusmast/entry_node.h
+++ b/cactusmast/entry_node.h
@@ -239,6 +239,12 @@
   // The live entry that says it owns aShard; 0 when there is none.
   peer_id OwnerPeer(uint32_t aShard, instant aNow) const;
 
+  void Follow(request_kind aKind,
+              caller_id aCaller,
+              const std::string& aTeam,
+              const job_id& aId,
+              duration aWait,
+              instant aNow);
   void AddRequest(request_row aRow, instant aNow);
   void Route(uint64_t aToken, instant aNow);
   void RouteLocally(uint64_t aToken, request_row& aRow, instant aNow);
--- a/cmd/entry_main.cc
+++ b/cmd/entry_main.cc
@@ -1,8 +1,6 @@
 // cactusmast-entry: serves callers and operators, and owns shards of workers.
 
-#include <docopt/docopt.h>
-#include <iostream>
-
+#include "shell/daemon_main.h"
 #include "shell/entry_daemon.h"
 
 namespace {
@@ -29,18 +27,6 @@
 main(int argc, char** argv)
 {
   using namespace cactusmast;
-  auto arguments = docopt::docopt(kUsage, { argv + 1, argv + argc }, true, "");
-  try {
-    std::string file = arguments["--settings"].asString();
-    entry_settings settings = ReadEntrySettings(ReadFile(file), file).Value();
-    if (arguments["--check"].asBool()) {
-      return 0;
-    }
-    auto daemon = std::move(entry_daemon::Create(settings).Value());
-    return daemon->Run(settings.mProcess.mDrainTimeoutMs);
-  } catch (const failure& error) {
-    std::cerr << error.Step() << " (" << error.Peer() << "): " << error.what()
-              << "\n";
-    return 2;
-  }
+  return RunDaemon<entry_daemon, entry_settings>(
+    argc, argv, kUsage, &ReadEntrySettings);
 }
--- a/cmd/guard_main.cc
+++ b/cmd/guard_main.cc
@@ -1,8 +1,6 @@
 // cactusmast-guard: holds the slots of one backend server.
 
-#include <docopt/docopt.h>
-#include <iostream>
-
+#include "shell/daemon_main.h"
 #include "shell/guard_daemon.h"
 
 namespace {
@@ -30,18 +28,6 @@
 main(int argc, char** argv)
 {
   using namespace cactusmast;
-  auto arguments = docopt::docopt(kUsage, { argv + 1, argv + argc }, true, "");
-  try {
-    std::string file = arguments["--settings"].asString();
-    guard_settings settings = ReadGuardSettings(ReadFile(file), file).Value();
-    if (arguments["--check"].asBool()) {
-      return 0;
-    }
-    auto daemon = std::move(guard_daemon::Create(settings).Value());
-    return daemon->Run(settings.mProcess.mDrainTimeoutMs);
-  } catch (const failure& error) {
-    std::cerr << error.Step() << " (" << error.Peer() << "): " << error.what()
-              << "\n";
-    return 2;
-  }
+  return RunDaemon<guard_daemon, guard_settings>(
+    argc, argv, kUsage, &ReadGuardSettings);
 }
--- /dev/null
+++ b/shell/daemon_main.h
@@ -0,0 +1,42 @@
+// The main function that the daemons share: settings in, exit code out.
+
+#ifndef SHELL_DAEMON_MAIN_H_
+#define SHELL_DAEMON_MAIN_H_
+
+#include <docopt/docopt.h>
+#include <iostream>
+#include <string>
+
+#include "shell/daemon.h"
+
+namespace cactusmast {
+
+// Exit codes: 0 after a complete planned stop, 1 when it was cut short, 2 for
+// bad settings or an address that cannot be used.
+template<typename Daemon, typename Settings>
+int
+RunDaemon(int aCount,
+          char** aArguments,
+          const char* aUsage,
+          result<Settings> (*aRead)(const std::string&, const std::string&))
+{
+  auto arguments =
+    docopt::docopt(aUsage, { aArguments + 1, aArguments + aCount }, true, "");
+  try {
+    std::string file = arguments["--settings"].asString();
+    Settings settings = aRead(ReadFile(file), file).Value();
+    if (arguments["--check"].asBool()) {
+      return 0;
+    }
+    auto daemon = std::move(Daemon::Create(settings).Value());
+    return daemon->Run(settings.mProcess.mDrainTimeoutMs);
+  } catch (const failure& error) {
+    std::cerr << error.Step() << " (" << error.Peer() << "): " << error.what()
+              << "\n";
+    return 2;
+  }
+}
+
+} // namespace cactusmast
+
+#endif // SHELL_DAEMON_MAIN_H_
--- a/shell/entry_daemon.cc
+++ b/shell/entry_daemon.cc
@@ -174,11 +174,7 @@
 void
 entry_daemon::Fail(uint64_t aExchange, const failure& aError)
 {
-  http_answer answer;
-  answer.mStatus = HttpStatus(aError.Code());
-  answer.mBody = RenderError(aError);
-  answer.mRetryAfterMs = aError.RetryAfter().count();
-  mHttp->Answer(aExchange, answer);
+  mHttp->Answer(aExchange, ErrorAnswer(aError));
 }
 
 void
--- a/shell/guard_daemon.cc
+++ b/shell/guard_daemon.cc
@@ -63,16 +63,6 @@
   return made;
 }
 
-http_answer
-ErrorAnswer(const failure& aError)
-{
-  http_answer answer;
-  answer.mStatus = HttpStatus(aError.Code());
-  answer.mBody = RenderError(aError);
-  answer.mRetryAfterMs = aError.RetryAfter().count();
-  return answer;
-}
-
 } // namespace
 
 guard_daemon::guard_daemon(const guard_settings& aSettings)
--- a/shell/http_server.cc
+++ b/shell/http_server.cc
@@ -1,5 +1,6 @@
 #include "shell/http_server.h"
 
+#include "cactusmast/api_json.h"
 #include "shell/peer_transport.h"
 
 namespace cactusmast {
@@ -63,6 +64,16 @@
 
 } // namespace
 
+http_answer
+ErrorAnswer(const failure& aError)
+{
+  http_answer answer;
+  answer.mStatus = HttpStatus(aError.Code());
+  answer.mBody = RenderError(aError);
+  answer.mRetryAfterMs = aError.RetryAfter().count();
+  return answer;
+}
+
 std::string
 http_exchange::Header(const char* aName) const
 {
--- a/shell/http_server.h
+++ b/shell/http_server.h
@@ -24,6 +24,10 @@
   int64_t mRetryAfterMs = 0;
 };
 
+// The answer that carries aError to the client.
+http_answer
+ErrorAnswer(const failure& aError);
+
 class http_exchange
 {
 public:
