--- a/cactusmast/entry_membership.cc
+++ b/cactusmast/entry_membership.cc
@@ -63,8 +63,8 @@
     if (!IsLiveEntry(row, aNow)) {
       continue;
     }
-    for (const wire::owned_shard& owned : row.mStatus.shards) {
-      if (owned.shard() == aShard) {
+    for (const wire::owned_shard_msg& owned : row.mStatus.shards) {
+      if (owned.shard == aShard) {
         return peer;
       }
     }
@@ -230,10 +230,10 @@
   uint32_t rivalWorkers = 0;
   uint64_t rivalEpoch = 0;
   const peer_row& row = mPeers.at(rival);
-  for (const wire::owned_shard& owned : row.mStatus.shards) {
-    if (owned.shard() == aShard) {
-      rivalWorkers = owned.workers();
-      rivalEpoch = owned.epoch();
+  for (const wire::owned_shard_msg& owned : row.mStatus.shards) {
+    if (owned.shard == aShard) {
+      rivalWorkers = owned.workers;
+      rivalEpoch = owned.epoch;
     }
   }
   shard_owner& owner = *Shard(aShard).mOwner;
@@ -327,9 +327,9 @@
   peer_row& row = mPeers[aPeer];
   row.mStatus = aStatus;
   row.mStatusKnown = true;
-  for (const wire::owned_shard& owned : aStatus.shards) {
-    shard_row& shard = Shard(owned.shard());
-    shard.mEpochSeen = std::max(shard.mEpochSeen, owned.epoch());
+  for (const wire::owned_shard_msg& owned : aStatus.shards) {
+    shard_row& shard = Shard(owned.shard);
+    shard.mEpochSeen = std::max(shard.mEpochSeen, owned.epoch);
   }
   if (aStatus.config_version < row.mPushedVersion) {
     row.mPushedVersion = aStatus.config_version; // it restarted or lost it
@@ -361,8 +361,11 @@
   wire::peer_status_msg status;
   for (const auto& [number, shard] : mShards) {
     if (shard.mOwner != nullptr) {
-      status.shards.emplace_back(
-        number, shard.mOwner->LeasedWorkers(aNow), shard.mOwner->Epoch());
+      wire::owned_shard_msg owned;
+      owned.shard = number;
+      owned.workers = shard.mOwner->LeasedWorkers(aNow);
+      owned.epoch = shard.mOwner->Epoch();
+      status.shards.push_back(owned);
     }
   }
   status.config_version = mConfig.InForce().mVersion;
@@ -630,10 +633,11 @@
       status.mWorkers = own.LeasedWorkers(aNow);
     } else if (owner != 0) {
       status.mOwner = mPeers.at(owner).mIdentity.mName;
-      for (const wire::owned_shard& owned : mPeers.at(owner).mStatus.shards) {
-        if (owned.shard() == number) {
-          status.mEpoch = owned.epoch();
-          status.mWorkers = owned.workers();
+      for (const wire::owned_shard_msg& owned :
+           mPeers.at(owner).mStatus.shards) {
+        if (owned.shard == number) {
+          status.mEpoch = owned.epoch;
+          status.mWorkers = owned.workers;
         }
       }
     }
--- a/cactusmast/ids.h
+++ b/cactusmast/ids.h
@@ -51,13 +51,18 @@
 inline job_id
 JobOf(const task_ref& aRef)
 {
-  return { aRef.job_hi(), aRef.job_lo() };
+  return { uint64_t(aRef.job_hi_high()) << 32 | aRef.job_hi_low(),
+           uint64_t(aRef.job_lo_high()) << 32 | aRef.job_lo_low() };
 }
 
 inline task_ref
 RefOf(const job_id& aJob, uint32_t aIndex)
 {
-  return task_ref(aJob.mHi, aJob.mLo, aIndex);
+  return task_ref(uint32_t(aJob.mHi >> 32),
+                  uint32_t(aJob.mHi),
+                  uint32_t(aJob.mLo >> 32),
+                  uint32_t(aJob.mLo),
+                  aIndex);
 }
 
 struct job_id_hash
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -50,6 +50,7 @@
 shared_key: $SHARED_KEY
 drain_timeout_ms: 20000
 seed_entries: [127.0.0.1:$((BASE + 101)), 127.0.0.1:$((BASE + 102))]
+${COMMON_EXTRA:-}
 EOF
 }
 
