Find an earlier owner's tasks in one place

Cause: the duplicate finder showed the search standing twice, and a parameter was not used. Change: RestoredOf; OnHandover without the peer.

--- a/cactusmast/entry_membership.cc
+++ b/cactusmast/entry_membership.cc
@@ -303,11 +303,8 @@
 }
 
 void
-entry_node::OnHandover(peer_id aPeer,
-                       const wire::handover_msg& aPart,
-                       instant aNow)
+entry_node::OnHandover(const wire::handover_msg& aPart, instant aNow)
 {
-  (void)aPeer;
   shard_row& shard = Shard(aPart.shard);
   shard.mEpochSeen = std::max(shard.mEpochSeen, aPart.epoch);
   if (shard.mOwner == nullptr) {
--- a/cactusmast/entry_node.cc
+++ b/cactusmast/entry_node.cc
@@ -248,7 +248,7 @@
       OnJobReply(*aMessage.Asjob_reply(), aNow);
       break;
     case message_kind::handover:
-      OnHandover(aPeer, *aMessage.Ashandover(), aNow);
+      OnHandover(*aMessage.Ashandover(), aNow);
       break;
     default:
       break;
--- a/cactusmast/entry_node.h
+++ b/cactusmast/entry_node.h
@@ -267,7 +267,7 @@
   void OnWorkerState(peer_id aPeer,
                      const wire::worker_state_msg& aState,
                      instant aNow);
-  void OnHandover(peer_id aPeer, const wire::handover_msg& aPart, instant aNow);
+  void OnHandover(const wire::handover_msg& aPart, instant aNow);
   shard_owner* OwnerFor(peer_id aPeer);
 
   void RunElections(instant aNow);
--- a/cactusmast/shard_owner.h
+++ b/cactusmast/shard_owner.h
@@ -344,6 +344,9 @@
   void CheckSatisfiable(uint32_t aLane, instant aNow);
   bool RestoreTasks(job_handle aJob, instant aNow);
   void RestoreTask(job_handle aJob, const recovered_task& aTask, instant aNow);
+  // The job's tasks that an earlier owner started on aRow's worker.
+  static std::vector<task_ref> RestoredOf(const worker_row& aRow,
+                                          job_handle aJob);
   void FetchRestored(job_handle aJob);
   bool MergeRecord(const wire::record_summary& aRecord,
                    const worker_row& aFrom,
--- a/cactusmast/shard_owner_accept.cc
+++ b/cactusmast/shard_owner_accept.cc
@@ -300,6 +300,18 @@
   worker->second.mRestored[ref] = aJob;
 }
 
+std::vector<task_ref>
+shard_owner::RestoredOf(const worker_row& aRow, job_handle aJob)
+{
+  std::vector<task_ref> refs;
+  for (const auto& [ref, job] : aRow.mRestored) {
+    if (job == aJob) {
+      refs.push_back(ref);
+    }
+  }
+  return refs;
+}
+
 // Asks the guards for the results of the job's restored tasks. A result may
 // have come before the job did, and was not kept then; the guard sends it
 // again, or when the task ends.
@@ -308,11 +320,7 @@
 {
   for (auto& [name, row] : mWorkers) {
     wire::fetch_msg ask;
-    for (const auto& [ref, job] : row.mRestored) {
-      if (job == aJob) {
-        ask.refs.push_back(ref);
-      }
-    }
+    ask.refs = RestoredOf(row, aJob);
     if (!ask.refs.empty() && row.mPeer != 0) {
       mCounters.mFetchMessages++;
       mNetwork.Send(row.mPeer, MakeMessage(std::move(ask)));
@@ -412,10 +420,8 @@
         cancel.refs.push_back(ref);
       }
     }
-    for (const auto& [ref, restored] : row.mRestored) {
-      if (restored == job) {
-        cancel.refs.push_back(ref);
-      }
+    for (const task_ref& ref : RestoredOf(row, job)) {
+      cancel.refs.push_back(ref);
     }
     if (!cancel.refs.empty() && row.mPeer != 0) {
       mCounters.mCancelMessages++;
