Hand a shard over only to an entry that knows a configuration

Cause: random: an entry that had just started during a table outage became the successor of a planned stop, knew no profile, and refused the open jobs as not run, although they were started. Ruled out: the guards' records (complete) and the handover (in order). Change: successors and rivals must have a configuration; a refusal of a job that an earlier owner held says unknown.

--- a/cactusmast/entry_membership.cc
+++ b/cactusmast/entry_membership.cc
@@ -77,7 +77,8 @@
 {
   uint64_t own = RendezvousWeight(aShard, mOptions.mName);
   for (const auto& [peer, row] : mPeers) {
-    bool rival = IsLiveEntry(row, aNow) && !row.mStatus.draining;
+    bool rival = IsLiveEntry(row, aNow) && !row.mStatus.draining &&
+                 row.mStatus.config_version > 0;
     if (rival && RendezvousWeight(aShard, row.mIdentity.mName) > own) {
       return false;
     }
@@ -91,7 +92,10 @@
   peer_id best = 0;
   uint64_t bestWeight = 0;
   for (const auto& [peer, row] : mPeers) {
-    if (!IsLiveEntry(row, aNow) || row.mStatus.draining) {
+    // An entry that knows no configuration yet would refuse the open jobs.
+    bool able = IsLiveEntry(row, aNow) && !row.mStatus.draining &&
+                row.mStatus.config_version > 0;
+    if (!able) {
       continue;
     }
     uint64_t weight = RendezvousWeight(aShard, row.mIdentity.mName);
@@ -308,7 +312,7 @@
   shard_row& shard = Shard(aPart.shard);
   shard.mEpochSeen = std::max(shard.mEpochSeen, aPart.epoch);
   if (shard.mOwner == nullptr) {
-    if (mDraining) {
+    if (mDraining || !mConfig.Loaded()) {
       return; // the shard's next owner asks the guards instead
     }
     Claim(aPart.shard, shard.mEpochSeen + 1, aNow);
--- a/cactusmast/shard_owner_accept.cc
+++ b/cactusmast/shard_owner_accept.cc
@@ -221,7 +221,15 @@
       mUnsatisfiable.push_back(job);
     }
   } catch (const failure& error) {
-    Refuse(aWaiter, error);
+    // Of a job that an earlier owner held, some tasks may have run.
+    run_state run = recovered ? run_state::Unknown : error.Run();
+    Refuse(aWaiter,
+           failure(error.Code(),
+                   error.Step(),
+                   error.Peer(),
+                   error.what(),
+                   run,
+                   error.RetryAfter()));
   }
 }
 
