--- a/cactusmast/config_agent.h
+++ b/cactusmast/config_agent.h
@@ -123,8 +123,6 @@
   bool Loaded() const { return mConfig.mVersion > 0; }
   // The table confirmed the version recently.
   bool Fresh(instant aNow) const;
-  // Whether the table answered this agent at least once.
-  bool TableSeen() const { return mTableSeen; }
 
 private:
   enum class step : uint8_t
--- a/cactusmast/job_table.h
+++ b/cactusmast/job_table.h
@@ -105,6 +105,7 @@
   bool Find(const job_id& aId, job_handle* aOut) const;
   bool Has(job_handle aHandle) const { return mRows.count(aHandle) > 0; }
   job_row& At(job_handle aHandle) { return mRows.at(aHandle); }
+  const job_row& At(job_handle aHandle) const { return mRows.at(aHandle); }
 
   // Settles one task; false when it was settled before. The second result is
   // true when this decided the job.
@@ -125,7 +126,6 @@
   // wave of expiries does not stall the loop.
   void Expire(instant aNow, uint32_t aMax);
 
-  size_t Size() const { return mRows.size(); }
   uint64_t AnswerBytes() const { return mAnswerBytes; }
   uint32_t Undecided() const { return mUndecided; }
   std::unordered_map<job_handle, job_row>& Rows() { return mRows; }
--- a/cactusmast/shard_owner.h
+++ b/cactusmast/shard_owner.h
@@ -354,6 +354,10 @@
   void MakeRoom(uint32_t aLane, uint32_t aTeam, uint32_t aCount, instant aNow);
   void AnswerFrom(const job_row& aRow, const waiter& aWaiter);
   void Refuse(const waiter& aWaiter, const failure& aError);
+  // A team finds its own jobs only, even with another's identity in hand.
+  bool FindOf(const std::string& aTeam,
+              const job_id& aId,
+              job_handle* aOut) const;
   void AddWaiter(job_handle aJob, const waiter& aWaiter);
 
   void ReleaseHeld(instant aNow);
--- a/cactusmast/shard_owner_accept.cc
+++ b/cactusmast/shard_owner_accept.cc
@@ -356,6 +356,14 @@
   }
 }
 
+bool
+shard_owner::FindOf(const std::string& aTeam,
+                    const job_id& aId,
+                    job_handle* aOut) const
+{
+  return mJobs.Find(aId, aOut) && mJobs.At(*aOut).mSubmission.mTeam == aTeam;
+}
+
 void
 shard_owner::Watch(const std::string& aTeam,
                    const job_id& aId,
@@ -363,9 +371,7 @@
                    instant aNow)
 {
   job_handle job = 0;
-  bool found =
-    mJobs.Find(aId, &job) && mJobs.At(job).mSubmission.mTeam == aTeam;
-  if (found) {
+  if (FindOf(aTeam, aId, &job)) {
     const job_row& row = mJobs.At(job);
     if (row.mState == job_state::Running && aWaiter.mUntil > aNow) {
       AddWaiter(job, aWaiter);
@@ -403,9 +409,7 @@
                     instant aNow)
 {
   job_handle job = 0;
-  bool found =
-    mJobs.Find(aId, &job) && mJobs.At(job).mSubmission.mTeam == aTeam;
-  if (!found) {
+  if (!FindOf(aTeam, aId, &job)) {
     Watch(aTeam, aId, aWaiter, aNow);
     return;
   }
--- a/cactusmast/slot_plan.h
+++ b/cactusmast/slot_plan.h
@@ -25,8 +25,6 @@
   void Take(uint32_t aWorker, double aRun);
 
 private:
-  void UpdateFirst(uint32_t aWorker);
-
   std::vector<std::vector<double>> mTimes;
   std::vector<double> mFirst;
 };
