Place tasks by expected loss; reload on SIGHUP; never give a job up for want of reports

Change: what has not reported counts as able to hold a job; SIGHUP and a replaced file reload the settings; placement weighs the risk to miss deadline and objective, and the last room of fast backend servers has a price.

--- a/cactusmast/instance_settings.cc
+++ b/cactusmast/instance_settings.cc
@@ -11,8 +11,11 @@
 namespace {
 
 void
-ReadInstance(settings_reader& aReader, instance_settings* aOut)
+ReadInstance(settings_reader& aReader,
+             const std::string& aFile,
+             instance_settings* aOut)
 {
+  aOut->mFile = aFile;
   std::string role;
   aReader.Text("role", true, &role);
   aReader.Text("name", true, &aOut->mName);
@@ -51,7 +54,7 @@
   return Guarded<coordinator_settings>(aFile, [&] {
     settings_reader reader(Load(aText, aFile), aFile);
     coordinator_settings made;
-    ReadInstance(reader, &made.mInstance);
+    ReadInstance(reader, aFile, &made.mInstance);
     reader.Address("front", true, &made.mFront);
     reader.Address("readiness", true, &made.mReadiness);
     reader.Finish();
@@ -65,7 +68,7 @@
   return Guarded<executor_settings>(aFile, [&] {
     settings_reader reader(Load(aText, aFile), aFile);
     executor_settings made;
-    ReadInstance(reader, &made.mInstance);
+    ReadInstance(reader, aFile, &made.mInstance);
     reader.Address("control", true, &made.mControl);
     reader.Address("backend", true, &made.mBackend);
     reader.Text("service", true, &made.mService);
--- a/cactusmast/instance_settings.h
+++ b/cactusmast/instance_settings.h
@@ -16,6 +16,7 @@
 // Common to both.
 struct instance_settings
 {
+  std::string mFile; // that these were read from
   std::string mName;
   std::string mDataCenter;
   std::string mRegion;
--- a/cactusmast/job_coordinator.cc
+++ b/cactusmast/job_coordinator.cc
@@ -22,6 +22,17 @@
 // the length of the longest tasks in the queue.
 constexpr duration kRetryAfter = milliseconds(1000);
 
+// Steps that find no place are tried this many at a time: each costs a look at
+// all backend servers, about 5 us at 57 of them, and what is tried first is
+// most urgent.
+constexpr uint32_t kMaxStuckSteps = 24;
+
+double
+MsBetween(instant aFrom, instant aTo)
+{
+  return double((aTo - aFrom).count()) / 1000;
+}
+
 instant
 MsFrom(instant aNow, double aMs)
 {
@@ -62,7 +73,7 @@
   }
   const route& way = *aRequest.mRoute;
   for (const job_step& step : aRequest.mSubmission.mSteps) {
-    if (!mViews.empty() && !CouldEverRun(mViews, way.mService, step)) {
+    if (CanNeverRun(mViews, way.mService, step)) {
       job_outcome never{ job_ending::Failed, "no backend server can hold it" };
       mCounters.mFailed++;
       mEvents.Emit(event_code::JobRefused,
@@ -119,7 +130,7 @@
 {
   const job_step& step = aJob.mSubmission.mSteps[aKey.mStep];
   instant latest = aJob.mObjectiveAt - milliseconds(step.mEstimateMs);
-  return { aJob.mRoute->mPriority, latest, aKey };
+  return { latest, aJob.mRoute->mPriority, aKey };
 }
 
 void
@@ -139,37 +150,46 @@
 job_coordinator::PlaceWaiting(instant aNow)
 {
   mRoomChanged = false;
+  // Tasks whose objective can still be met come first; the others are served
+  // from what is left. Otherwise, once work backs up, every answer would be
+  // late.
+  std::vector<task_key> order;
+  std::vector<task_key> late;
+  for (const waiting_key& key : mWaiting) {
+    bool inTime = std::get<0>(key) >= aNow;
+    (inTime ? order : late).push_back(std::get<2>(key));
+  }
+  order.insert(order.end(), late.begin(), late.end());
   // Tasks of one step are alike, so where one found no place the others do
   // not either.
-  std::set<std::pair<uint64_t, uint32_t>> stuck;
-  task_size smallestStuck;
-  bool anyStuck = false;
-  for (auto at = mWaiting.begin(); at != mWaiting.end();) {
-    const task_key key = std::get<2>(*at);
-    job& owner = mJobs.at(key.mJob);
-    const task_size& size = owner.mSubmission.mSteps[key.mStep].mSize;
-    bool hopeless =
-      stuck.count({ key.mJob, key.mStep }) > 0 ||
-      (anyStuck && smallestStuck.FitsIn(size) && stuck.size() > 8);
-    if (hopeless) {
-      ++at;
+  std::pair<uint64_t, uint32_t> stuck{ 0, UINT32_MAX };
+  std::set<uint64_t> hopeless;
+  uint32_t stuckSteps = 0;
+  for (const task_key& key : order) {
+    if (std::make_pair(key.mJob, key.mStep) == stuck) {
       continue;
     }
-    if (PlaceOne(owner, key, aNow)) {
-      at = mWaiting.erase(at);
+    if (stuckSteps >= kMaxStuckSteps) {
+      break;
+    }
+    job& owner = mJobs.at(key.mJob);
+    placement_verdict verdict = PlaceOne(owner, key, aNow);
+    if (verdict == placement_verdict::Place) {
       continue;
     }
-    stuck.insert({ key.mJob, key.mStep });
-    if (!anyStuck || size.FitsIn(smallestStuck)) {
-      smallestStuck = size;
-      anyStuck = true;
+    stuck = { key.mJob, key.mStep };
+    stuckSteps++;
+    if (verdict == placement_verdict::Hopeless) {
+      hopeless.insert(key.mJob);
     }
-    ++at;
   }
   SendOrders(aNow);
+  for (uint64_t id : hopeless) {
+    Finish(id, ExpiryOf(mJobs.at(id)), aNow);
+  }
 }
 
-bool
+placement_verdict
 job_coordinator::PlaceOne(job& aJob, const task_key& aKey, instant aNow)
 {
   task& one = TaskOf(aJob, aKey);
@@ -179,26 +199,28 @@
   request.mService = aJob.mRoute->mService;
   request.mDataCenter = mDataCenter;
   request.mAvoid = one.mAvoid;
-  std::optional<placement_choice> choice =
-    ChooseServer(mViews, request, mRandom);
-  if (!choice && one.mAvoid != 0) {
+  request.mDeadlineMs = MsBetween(aNow, aJob.mDeadline);
+  request.mObjectiveBaseMs =
+    aJob.mRoute->mObjectiveBaseMs - MsBetween(aJob.mAcceptedAt, aNow);
+  request.mObjectiveStretch = aJob.mRoute->mObjectiveStretch;
+  placement_decision decision = ChooseServer(mViews, request, mRandom);
+  if (decision.mVerdict == placement_verdict::Nowhere && one.mAvoid != 0) {
     request.mAvoid = 0;
-    choice = ChooseServer(mViews, request, mRandom);
+    decision = ChooseServer(mViews, request, mRandom);
   }
-  if (!choice) {
-    return false;
+  if (decision.mVerdict != placement_verdict::Place) {
+    return decision.mVerdict;
   }
-  server_view& view = mViews[choice->mView];
+  server_view& view = mViews[decision.mChoice.mView];
   view.mFree -= step.mSize;
+  mWaiting.erase(WaitingKey(aJob, aKey));
   one.mState = task_state::Placed;
   one.mAt = view.mPeer;
   one.mAttempt++;
-  aJob.mMayHaveRun = true;
   mExecutors[view.mPeer].mTasks.insert(aKey);
   mOrders[{ view.mPeer, aKey.mJob, aKey.mStep }].push_back(aKey.mIndex);
   mCounters.mAttempts++;
-  (void)aNow;
-  return true;
+  return placement_verdict::Place;
 }
 
 void
@@ -222,7 +244,7 @@
     order.gpus = uint32_t(step.mSize.mGpus);
     order.estimate_ms = step.mEstimateMs;
     order.urgent_in_ms = int32_t(toMs(
-      std::get<1>(WaitingKey(owner, { id, stepNumber, 0 })) - aNow));
+      std::get<0>(WaitingKey(owner, { id, stepNumber, 0 })) - aNow));
     order.start_within_ms = kStartWithinMs;
     order.stop_after_ms = uint32_t(
       std::max<int64_t>(0, toMs(owner.mDeadline - aNow)));
@@ -385,6 +407,7 @@
   view.mCapacity = { aSaid.cpu_millis, aSaid.memory_mb, aSaid.gpus };
   view.mQueuedCpuMillis = aSaid.queued_cpu_millis;
   view.mSlowness = aSaid.slowness_permille / 1000.0;
+  view.mMeanRunMs = aSaid.mean_run_ms;
   view.mLabels = aSaid.labels;
   view.mReportedAt = aNow;
   at.mReportedFree = { aSaid.free_cpu_millis,
@@ -449,6 +472,7 @@
     }
   } else {
     one.mAvoid = aPeer;
+    owner.mRan = true;
   }
   if (outcome == attempt_outcome::Failed &&
       ++one.mFailures >= std::max<uint32_t>(1, owner.mRoute->mMaxAttempts)) {
@@ -575,10 +599,26 @@
   }
 }
 
+bool
+job_coordinator::MayHaveRun(const job& aJob) const
+{
+  if (aJob.mRan) {
+    return true;
+  }
+  for (const auto& step : aJob.mTasks) {
+    for (const task& one : step) {
+      if (one.mState != task_state::Waiting) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 job_outcome
 job_coordinator::ExpiryOf(const job& aJob) const
 {
-  if (aJob.mMayHaveRun) {
+  if (MayHaveRun(aJob)) {
     return { job_ending::Expired, "its time ran out", {} };
   }
   return { job_ending::Refused, "no room in its time", kRetryAfter };
@@ -626,7 +666,7 @@
 {
   uint32_t count = 0;
   for (const auto& [id, one] : mJobs) {
-    count += one.mRoute->mName == aRoute && !one.mMayHaveRun ? 1 : 0;
+    count += one.mRoute->mName == aRoute && !MayHaveRun(one) ? 1 : 0;
   }
   return count;
 }
--- a/cactusmast/job_coordinator.h
+++ b/cactusmast/job_coordinator.h
@@ -157,7 +157,7 @@
     instant mDeadline{};
     std::vector<std::vector<task>> mTasks; // by step and index
     uint32_t mLeft = 0;
-    bool mMayHaveRun = false;
+    bool mRan = false; // an attempt ended that was started
   };
 
   struct executor
@@ -171,8 +171,9 @@
     task_size mReportedFree;
   };
 
-  // Most urgent first: priority, then when the objective is out of reach.
-  using waiting_key = std::tuple<uint32_t, instant, task_key>;
+  // Most urgent first: the latest start that still meets the objective, then
+  // the priority.
+  using waiting_key = std::tuple<instant, uint32_t, task_key>;
 
   void Enqueue(const job& aJob, const task_key& aKey);
   waiting_key WaitingKey(const job& aJob, const task_key& aKey) const;
@@ -180,7 +181,7 @@
   // Places what can be placed, gathering the tasks of one job for one
   // executor into one order.
   void PlaceWaiting(instant aNow);
-  bool PlaceOne(job& aJob, const task_key& aKey, instant aNow);
+  placement_verdict PlaceOne(job& aJob, const task_key& aKey, instant aNow);
   void SendOrders(instant aNow);
   void RefreshFree(executor& aAt);
   void OnEnd(peer_id aPeer, const wire::task_end& aEnd, instant aNow);
@@ -188,6 +189,7 @@
   void Withdraw(job& aJob, instant aNow);
   void Settle(const task_key& aKey, instant aUntil);
   void Release(const task_key& aKey);
+  bool MayHaveRun(const job& aJob) const;
   job_outcome ExpiryOf(const job& aJob) const;
   void ExpireJobs(instant aNow);
   void ExpireSettling(instant aNow);
--- a/cactusmast/placement.cc
+++ b/cactusmast/placement.cc
@@ -1,6 +1,8 @@
 #include "cactusmast/placement.h"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 
 namespace cactusmast {
 namespace {
@@ -15,6 +17,27 @@
 constexpr double kSpread = 0.1;
 // Another data centre is about this much farther there and back.
 constexpr double kOtherDataCenterMs = 1;
+// Estimates are off by a factor whose logarithm has about this deviation.
+constexpr double kEstimateSigma = 0.35;
+// Order, start, look and report take about this long beside the run itself.
+constexpr double kOverheadMs = 12;
+// Waits are forecast to about this many milliseconds.
+constexpr double kWaitSigmaMs = 20;
+// What a certain loss counts for against time, in ms: an answer after the
+// deadline is worth nothing, one after the objective a fifth.
+constexpr double kMissCostMs = 4000;
+constexpr double kLateCostMs = 0.8 * kMissCostMs;
+// A task is kept waiting for a busy backend server only if that saves this
+// much; forecasts are not better than that.
+constexpr double kWorthWaitingMs = 150;
+// A backend server at least this much faster than the middle one is scarce: at
+// full use a task has to save this many ms to get its last room.
+constexpr double kFastShare = 0.8;
+constexpr double kScarceMs = 400;
+// With less chance than this a task is not started any more.
+constexpr double kHopelessRisk = 0.98;
+// Before a backend server has ended a task.
+constexpr double kUnknownMeanRunMs = 200;
 
 bool
 HasLabel(const server_view& aView, const std::string& aLabel)
@@ -35,10 +58,45 @@
           HasLabel(aView, step.mRequiredLabel));
 }
 
+double
+NormalTail(double aDeviations)
+{
+  return 0.5 * std::erfc(aDeviations / std::sqrt(2.0));
+}
+
+double
+MedianSlowness(const std::vector<server_view>& aViews)
+{
+  std::vector<double> all;
+  for (const server_view& view : aViews) {
+    if (view.mState == server_state::Ready) {
+      all.push_back(view.mSlowness);
+    }
+  }
+  if (all.empty()) {
+    return 1;
+  }
+  std::nth_element(all.begin(), all.begin() + long(all.size() / 2), all.end());
+  return all[all.size() / 2];
+}
+
+// Rises steeply over the last half of the room.
+double
+ScarcityMs(const server_view& aView, double aMedianSlowness)
+{
+  if (aView.mSlowness > kFastShare * aMedianSlowness) {
+    return 0;
+  }
+  double used = 1 - double(aView.mFree.mCpuMillis) /
+                      double(std::max<int64_t>(1, aView.mCapacity.mCpuMillis));
+  used = std::clamp(used, 0.0, 1.0);
+  return kScarceMs * std::pow(used, 4);
+}
+
 } // namespace
 
 double
-ExpectedWaitMs(const server_view& aView, const task_size& aSize, double aRunMs)
+ExpectedWaitMs(const server_view& aView, const task_size& aSize)
 {
   if (aSize.FitsIn(aView.mFree) && aView.mQueuedCpuMillis == 0) {
     return 0;
@@ -46,57 +104,107 @@
   // Room is freed at the rate at which the running tasks end.
   int64_t lacking =
     aSize.mCpuMillis + aView.mQueuedCpuMillis - aView.mFree.mCpuMillis;
-  double share = double(std::max<int64_t>(lacking, aSize.mCpuMillis)) /
+  double share = double(std::max<int64_t>(lacking, aSize.mCpuMillis / 2)) /
                  double(std::max<int64_t>(aView.mCapacity.mCpuMillis, 1));
-  return share * aRunMs;
+  double meanRunMs =
+    aView.mMeanRunMs > 0 ? aView.mMeanRunMs : kUnknownMeanRunMs;
+  return share * meanRunMs;
+}
+
+placement_forecast
+Forecast(const server_view& aView, const placement_request& aRequest)
+{
+  placement_forecast made;
+  double estimateMs = std::max<double>(1, aRequest.mStep->mEstimateMs);
+  made.mRunMs = estimateMs * aView.mSlowness;
+  const std::string& rack = aRequest.mStep->mDataRack;
+  if (!rack.empty() && !HasLabel(aView, rack)) {
+    made.mRunMs *= aRequest.mFarFactor;
+  }
+  made.mWaitMs = ExpectedWaitMs(aView, aRequest.mStep->mSize);
+  double leftMs = aRequest.mDeadlineMs - made.mWaitMs - kOverheadMs;
+  made.mMissRisk =
+    leftMs <= 0 ? 1
+                : NormalTail(std::log(leftMs / made.mRunMs) / kEstimateSigma);
+  // Estimate and objective err together, so only the wait is uncertain.
+  double slackMs = aRequest.mObjectiveBaseMs +
+                   aRequest.mObjectiveStretch * estimateMs - made.mRunMs -
+                   made.mWaitMs - kOverheadMs;
+  made.mLateRisk = NormalTail(slackMs / kWaitSigmaMs);
+  made.mCost = made.mWaitMs + made.mRunMs + kMissCostMs * made.mMissRisk +
+               kLateCostMs * made.mLateRisk * (1 - made.mMissRisk);
+  return made;
 }
 
-std::optional<placement_choice>
+placement_decision
 ChooseServer(const std::vector<server_view>& aViews,
              const placement_request& aRequest,
              random_source& aRandom)
 {
-  std::optional<placement_choice> best;
-  double bestScore = 0;
+  placement_decision now;
+  placement_decision later;
+  double nowCost = std::numeric_limits<double>::infinity();
+  double laterCost = nowCost;
+  double leastRisk = 1;
+  double median = MedianSlowness(aViews);
   for (size_t i = 0; i < aViews.size(); i++) {
     const server_view& view = aViews[i];
     if (!Suits(view, aRequest)) {
       continue;
     }
-    double runMs = aRequest.mStep->mEstimateMs * view.mSlowness;
-    const std::string& rack = aRequest.mStep->mDataRack;
-    if (!rack.empty() && !HasLabel(view, rack)) {
-      runMs *= aRequest.mFarFactor;
-    }
-    double waitMs = ExpectedWaitMs(view, aRequest.mStep->mSize, runMs);
-    if (waitMs > kMaxServerWaitMs) {
-      continue;
-    }
-    double endMs = waitMs + runMs;
+    placement_forecast made = Forecast(view, aRequest);
+    leastRisk = std::min(leastRisk, made.mMissRisk);
+    made.mCost += ScarcityMs(view, median);
     if (view.mDataCenter != aRequest.mDataCenter) {
-      endMs += kOtherDataCenterMs;
+      made.mCost += kOtherDataCenterMs;
     }
-    double score = endMs * (1 + kSpread * aRandom.NextUniform());
-    if (!best || score < bestScore) {
-      best = placement_choice{ i, waitMs, endMs };
-      bestScore = score;
+    double cost = made.mCost * (1 + kSpread * aRandom.NextUniform());
+    bool soon = made.mWaitMs <= kMaxServerWaitMs;
+    double& best = soon ? nowCost : laterCost;
+    if (cost < best) {
+      best = cost;
+      (soon ? now : later).mChoice = { i, made };
     }
   }
-  return best;
+  if (leastRisk > kHopelessRisk &&
+      (nowCost < std::numeric_limits<double>::infinity() ||
+       laterCost < std::numeric_limits<double>::infinity())) {
+    now.mVerdict = placement_verdict::Hopeless;
+    return now;
+  }
+  if (laterCost + kWorthWaitingMs < nowCost) {
+    later.mVerdict = placement_verdict::Wait;
+    return later;
+  }
+  if (nowCost < std::numeric_limits<double>::infinity()) {
+    now.mVerdict = placement_verdict::Place;
+  }
+  return now;
 }
 
 bool
-CouldEverRun(const std::vector<server_view>& aViews,
-             const std::string& aService,
-             const job_step& aStep)
+CanNeverRun(const std::vector<server_view>& aViews,
+            const std::string& aService,
+            const job_step& aStep)
 {
-  return std::any_of(
-    aViews.begin(), aViews.end(), [&](const server_view& aView) {
-      return aView.mService == aService &&
-             aStep.mSize.FitsIn(aView.mCapacity) &&
-             (aStep.mRequiredLabel.empty() ||
-              HasLabel(aView, aStep.mRequiredLabel));
-    });
+  bool anyKnown = false;
+  for (const server_view& view : aViews) {
+    bool unknown = view.mService.empty() || view.mCapacity.mCpuMillis == 0;
+    if (unknown) {
+      return false;
+    }
+    if (view.mService != aService) {
+      continue;
+    }
+    anyKnown = true;
+    bool holds = aStep.mSize.FitsIn(view.mCapacity) &&
+                 (aStep.mRequiredLabel.empty() ||
+                  HasLabel(view, aStep.mRequiredLabel));
+    if (holds) {
+      return false;
+    }
+  }
+  return anyKnown;
 }
 
 } // namespace cactusmast
--- a/cactusmast/placement.h
+++ b/cactusmast/placement.h
@@ -1,9 +1,14 @@
 // Chooses backend servers for tasks from what an entry last heard of them.
 //
-// A task goes where it is expected to end first: the time until there is room
-// plus the estimate at the backend server's learned speed. Where there is no
-// room anywhere, it stays at the entry, which still can choose, unless the
-// wait at a backend server is short. Pure functions; nothing here keeps state.
+// Callers gain from an answer within their objective, less from a later one,
+// nothing after the deadline. The choice therefore minimizes the expected
+// loss: the chance to end after the deadline or after the objective, given the
+// wait, the estimate and the backend server's learned speed. Among choices of
+// like risk the earlier end wins, with a price on the last room of the fast
+// backend servers, which only they can give to long tasks.
+//
+// When waiting for a busy backend server promises less loss than any that has
+// room, the task stays at the entry. Pure functions; nothing here keeps state.
 
 #ifndef CACTUSMAST_PLACEMENT_H_
 #define CACTUSMAST_PLACEMENT_H_
@@ -31,6 +36,7 @@
   task_size mFree;
   int64_t mQueuedCpuMillis = 0;
   double mSlowness = 1.0; // run time over estimate
+  double mMeanRunMs = 0;  // of tasks that ended there lately
   std::vector<std::string> mLabels;
   instant mReportedAt{};
 };
@@ -42,31 +48,61 @@
   std::string mDataCenter;      // of the entry
   peer_id mAvoid = 0;           // where the last attempt failed; 0: none
   double mFarFactor = 1.0;      // run time away from the data over near it
+  double mDeadlineMs = 0;       // from now
+  // The objective, from now, is mObjectiveBaseMs plus the run time on a
+  // backend server of ordinary speed times mObjectiveStretch.
+  double mObjectiveBaseMs = 0;
+  double mObjectiveStretch = 1;
+};
+
+// Expected outcome of one placement.
+struct placement_forecast
+{
+  double mWaitMs = 0;
+  double mRunMs = 0;
+  double mMissRisk = 0; // of ending after the deadline
+  double mLateRisk = 0; // of ending after the objective
+  double mCost = 0;     // in ms: time, and what risk and scarce room count for
 };
 
 struct placement_choice
 {
   size_t mView = 0; // index
-  double mWaitMs = 0;
-  double mEndMs = 0; // expected, from now
+  placement_forecast mForecast;
+};
+
+enum class placement_verdict : uint8_t
+{
+  Place,
+  Wait,     // a busy backend server is the better choice
+  Hopeless, // no backend server can end it before the deadline
+  Nowhere,  // none is usable at present
+  Count
+};
+
+struct placement_decision
+{
+  placement_verdict mVerdict = placement_verdict::Nowhere;
+  placement_choice mChoice; // with Place and Wait
 };
 
 // Time until aSize fits beside what is there and queued.
 double
-ExpectedWaitMs(const server_view& aView,
-               const task_size& aSize,
-               double aRunMs);
+ExpectedWaitMs(const server_view& aView, const task_size& aSize);
+
+placement_forecast
+Forecast(const server_view& aView, const placement_request& aRequest);
 
-// None when no usable backend server would start the task within
-// kMaxServerWaitMs.
-std::optional<placement_choice>
+placement_decision
 ChooseServer(const std::vector<server_view>& aViews,
              const placement_request& aRequest,
              random_source& aRandom);
 
-// Whether any backend server that was ever heard of could hold aStep.
+// Whether all backend servers of the service have reported, and none of them
+// could hold aStep. What is not known yet counts as able to hold it: an entry
+// that has just started must not give a job up for want of reports.
 bool
-CouldEverRun(const std::vector<server_view>& aViews,
+CanNeverRun(const std::vector<server_view>& aViews,
              const std::string& aService,
              const job_step& aStep);
 
--- a/cactusmast/task_executor.cc
+++ b/cactusmast/task_executor.cc
@@ -637,7 +637,9 @@
     return;
   }
   mFailuresInRow = 0;
-  mRunMs = mRunMs * kLearnDecay + double(ToMs(aNow - aTask.mOrderedAt));
+  auto ranMs = double(ToMs(aNow - aTask.mOrderedAt));
+  mMeanRunMs = mMeanRunMs == 0 ? ranMs : 0.9 * mMeanRunMs + 0.1 * ranMs;
+  mRunMs = mRunMs * kLearnDecay + ranMs;
   mEstimateMs = mEstimateMs * kLearnDecay + double(aTask.mEstimateMs);
 }
 
@@ -786,6 +788,7 @@
     }
     said.queued_cpu_millis = uint32_t(queued);
     said.running = uint32_t(Running());
+    said.mean_run_ms = uint32_t(mMeanRunMs);
     said.slowness_permille = uint32_t(Slowness() * 1000);
     said.labels = mServer.mLabels;
     entry.mReportedAt = aNow;
--- a/cactusmast/task_executor.h
+++ b/cactusmast/task_executor.h
@@ -219,6 +219,7 @@
 
   double mRunMs = 0;      // decayed sums over ended tasks
   double mEstimateMs = 0; //
+  double mMeanRunMs = 0;
   uint32_t mFailuresInRow = 0;
   instant mIllUntil{};
 };
--- a/shell/coordinator_daemon.cc
+++ b/shell/coordinator_daemon.cc
@@ -457,6 +457,7 @@
 coordinator_daemon::OnTick()
 {
   instant now = Now();
+  CheckSettingsFile(now);
   mConfigWatcher.Tick(now);
   mEntryWatcher.Tick(now);
   AnnounceSelf(now);
@@ -471,6 +472,17 @@
   mTransport->Sweep();
 }
 
+result<instance_settings>
+coordinator_daemon::ReadSettings() const
+{
+  const std::string& file = mInstance.mFile;
+  try {
+    return ReadCoordinatorSettings(ReadFile(file), file).Value().mInstance;
+  } catch (const failure& error) {
+    return error;
+  }
+}
+
 void
 coordinator_daemon::OnDrain()
 {
--- a/shell/coordinator_daemon.h
+++ b/shell/coordinator_daemon.h
@@ -60,6 +60,7 @@
   bool IsDrained() override;
   void OnAbort() override;
   void AddMetrics(metrics_page* aPage) override;
+  result<instance_settings> ReadSettings() const override;
 
 private:
   struct entry_peer
--- a/shell/daemon.cc
+++ b/shell/daemon.cc
@@ -67,6 +67,7 @@
   mLoop = g_main_loop_new(nullptr, FALSE);
   g_unix_signal_add(SIGTERM, &daemon_loop::OnSignal, this);
   g_unix_signal_add(SIGINT, &daemon_loop::OnSignal, this);
+  g_unix_signal_add(SIGHUP, &daemon_loop::OnHangup, this);
   g_timeout_add(kTickMs, &daemon_loop::OnTimer, this);
   TickSoon();
   g_main_loop_run(mLoop);
@@ -149,6 +150,15 @@
   return G_SOURCE_CONTINUE;
 }
 
+gboolean
+daemon_loop::OnHangup(gpointer aData)
+{
+  auto* self = static_cast<daemon_loop*>(aData);
+  self->OnReload();
+  self->TickSoon();
+  return G_SOURCE_CONTINUE;
+}
+
 gboolean
 daemon_loop::OnDeadline(gpointer aData)
 {
--- a/shell/daemon.h
+++ b/shell/daemon.h
@@ -49,6 +49,8 @@
   virtual bool IsDrained() = 0;
   // The planned stop ran out of time, or a second signal came.
   virtual void OnAbort() = 0;
+  // SIGHUP: the settings file may have changed.
+  virtual void OnReload() {}
 
   // Input arrived: tick once this turn of the loop is over.
   void TickSoon();
@@ -58,6 +60,7 @@
   static gboolean OnTimer(gpointer aData);
   static gboolean OnIdle(gpointer aData);
   static gboolean OnSignal(gpointer aData);
+  static gboolean OnHangup(gpointer aData);
   static gboolean OnDeadline(gpointer aData);
   void CheckDrained();
   void QuitSoon();
--- a/shell/executor_daemon.cc
+++ b/shell/executor_daemon.cc
@@ -169,6 +169,7 @@
 executor_daemon::OnTick()
 {
   instant now = Now();
+  CheckSettingsFile(now);
   mExecutor.Tick(now);
   DialEntries(now, [](const std::string&) { return true; });
   AskStore(now);
@@ -176,6 +177,17 @@
   mTransport->Sweep();
 }
 
+result<instance_settings>
+executor_daemon::ReadSettings() const
+{
+  const std::string& file = mInstance.mFile;
+  try {
+    return ReadExecutorSettings(ReadFile(file), file).Value().mInstance;
+  } catch (const failure& error) {
+    return error;
+  }
+}
+
 void
 executor_daemon::OnDrain()
 {
--- a/shell/executor_daemon.h
+++ b/shell/executor_daemon.h
@@ -48,6 +48,7 @@
   bool IsDrained() override;
   void OnAbort() override;
   void AddMetrics(metrics_page* aPage) override;
+  result<instance_settings> ReadSettings() const override;
 
 private:
   executor_daemon(const executor_settings& aSettings,
--- a/shell/instance_daemon.cc
+++ b/shell/instance_daemon.cc
@@ -1,5 +1,7 @@
 #include "shell/instance_daemon.h"
 
+#include <sys/stat.h>
+
 namespace cactusmast {
 namespace {
 
@@ -7,6 +9,8 @@
 // time is dialled anew, since a lost first packet is repeated only after a
 // second.
 constexpr uint32_t kHandshakeLimitMs = 900;
+// Settings change a few times a day at most.
+constexpr duration kFileCheckInterval = std::chrono::seconds(2);
 constexpr size_t kMaxMetricsRequest = 4096;
 // The largest message is a configuration of some thousand routes.
 constexpr size_t kMaxFrame = 8u << 20;
@@ -64,6 +68,46 @@
       .Value());
 }
 
+void
+instance_daemon::OnReload()
+{
+  result<instance_settings> read = ReadSettings();
+  if (!read.Ok()) {
+    // What was read at the start stays in force.
+    mLog.Emit(event_code::SettingsInvalid, { { "text", read.Error().what() } });
+    return;
+  }
+  size_t added = 0;
+  for (const std::string& seed : read.Value().SeedAddresses()) {
+    added += mDirectory.Learn(seed, true, Now()) ? 1 : 0;
+  }
+  mLog.Emit(event_code::SettingsReloaded,
+            { { "file", mInstance.mFile },
+              { "new_seeds", std::to_string(added) } });
+}
+
+void
+instance_daemon::CheckSettingsFile(instant aNow)
+{
+  if (aNow < mNextFileCheck) {
+    return;
+  }
+  mNextFileCheck = aNow + kFileCheckInterval;
+  struct stat found
+  {};
+  if (stat(mInstance.mFile.c_str(), &found) != 0) {
+    return;
+  }
+  int64_t changed =
+    int64_t(found.st_mtim.tv_sec) * G_USEC_PER_SEC + found.st_mtim.tv_nsec / 1000;
+  bool first = mFileChangedAt == 0;
+  bool same = changed == mFileChangedAt;
+  mFileChangedAt = changed;
+  if (!first && !same) {
+    OnReload();
+  }
+}
+
 void
 instance_daemon::DialEntries(
   instant aNow,
--- a/shell/instance_daemon.h
+++ b/shell/instance_daemon.h
@@ -5,6 +5,7 @@
 #ifndef SHELL_INSTANCE_DAEMON_H_
 #define SHELL_INSTANCE_DAEMON_H_
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -32,6 +33,13 @@
   void OpenInstance();
   virtual void AddMetrics(metrics_page* aPage) = 0;
 
+  // Reads the settings anew from aFile; only the seeds may change while the
+  // process runs.
+  virtual result<instance_settings> ReadSettings() const = 0;
+  void OnReload() override;
+  // Notices a settings file that was replaced without a signal.
+  void CheckSettingsFile(instant aNow);
+
   // Dials entries that are due; aDialled says which addresses this side dials.
   void DialEntries(instant aNow,
                    const std::function<bool(const std::string&)>& aDialled);
@@ -49,6 +57,8 @@
 
 private:
   std::unique_ptr<http_server> mMetricsServer;
+  int64_t mFileChangedAt = 0;
+  instant mNextFileCheck{};
 };
 
 } // namespace cactusmast
