Give room first to tasks that still meet their objective

Cause: once work backs up, tasks were placed in the order of their latest start whether or not they could still be in time, so all were a little late. Change: two passes; what probably misses its objective is served from what is left, and nothing is started that could only end after three objectives.

--- a/cactusmast/job_coordinator.cc
+++ b/cactusmast/job_coordinator.cc
@@ -22,6 +22,9 @@
 // the length of the longest tasks in the queue.
 constexpr duration kRetryAfter = milliseconds(1000);
 
+// An answer is worth nothing to its caller after this many times the
+// objective: no task is started that could only end later.
+constexpr int kUsefulObjectives = 3;
 // Steps that find no place are tried this many at a time: each costs a look at
 // all backend servers, about 5 us at 57 of them, and what is tried first is
 // most urgent.
@@ -108,6 +111,7 @@
   }
   made.mObjectiveAt =
     MsFrom(aNow, way.mObjectiveStretch * longest + way.mObjectiveBaseMs);
+  made.mUsefulUntil = aNow + kUsefulObjectives * (made.mObjectiveAt - aNow);
   mDeadlines.insert({ made.mDeadline, made.mId });
   for (size_t s = 0; s < made.mTasks.size(); s++) {
     for (size_t i = 0; i < made.mTasks[s].size(); i++) {
@@ -150,47 +154,58 @@
 job_coordinator::PlaceWaiting(instant aNow)
 {
   mRoomChanged = false;
-  // Tasks whose objective can still be met come first; the others are served
-  // from what is left. Otherwise, once work backs up, every answer would be
-  // late.
   std::vector<task_key> order;
-  std::vector<task_key> late;
   for (const waiting_key& key : mWaiting) {
-    bool inTime = std::get<0>(key) >= aNow;
-    (inTime ? order : late).push_back(std::get<2>(key));
+    order.push_back(std::get<2>(key));
   }
-  order.insert(order.end(), late.begin(), late.end());
+  // Tasks that would meet their objective come first; the others are served
+  // from what is left. Otherwise, once work backs up, each answer would be
+  // late.
+  std::vector<task_key> late = PlaceAll(order, placement_aim::InObjective, aNow);
+  PlaceAll(late, placement_aim::BeforeDeadline, aNow);
+  SendOrders(aNow);
+  std::set<uint64_t> hopeless = std::move(mHopeless);
+  mHopeless.clear();
+  for (uint64_t id : hopeless) {
+    Finish(id, ExpiryOf(mJobs.at(id)), aNow);
+  }
+}
+
+std::vector<task_key>
+job_coordinator::PlaceAll(const std::vector<task_key>& aOrder,
+                          placement_aim aAim,
+                          instant aNow)
+{
   // Tasks of one step are alike, so where one found no place the others do
   // not either.
   std::pair<uint64_t, uint32_t> stuck{ 0, UINT32_MAX };
-  std::set<uint64_t> hopeless;
+  std::vector<task_key> left;
   uint32_t stuckSteps = 0;
-  for (const task_key& key : order) {
-    if (std::make_pair(key.mJob, key.mStep) == stuck) {
+  for (const task_key& key : aOrder) {
+    bool alike = std::make_pair(key.mJob, key.mStep) == stuck;
+    if (alike || stuckSteps >= kMaxStuckSteps) {
+      left.push_back(key);
       continue;
     }
-    if (stuckSteps >= kMaxStuckSteps) {
-      break;
-    }
-    job& owner = mJobs.at(key.mJob);
-    placement_verdict verdict = PlaceOne(owner, key, aNow);
+    placement_verdict verdict = PlaceOne(mJobs.at(key.mJob), key, aAim, aNow);
     if (verdict == placement_verdict::Place) {
       continue;
     }
+    left.push_back(key);
     stuck = { key.mJob, key.mStep };
     stuckSteps++;
     if (verdict == placement_verdict::Hopeless) {
-      hopeless.insert(key.mJob);
+      mHopeless.insert(key.mJob);
     }
   }
-  SendOrders(aNow);
-  for (uint64_t id : hopeless) {
-    Finish(id, ExpiryOf(mJobs.at(id)), aNow);
-  }
+  return left;
 }
 
 placement_verdict
-job_coordinator::PlaceOne(job& aJob, const task_key& aKey, instant aNow)
+job_coordinator::PlaceOne(job& aJob,
+                          const task_key& aKey,
+                          placement_aim aAim,
+                          instant aNow)
 {
   task& one = TaskOf(aJob, aKey);
   const job_step& step = aJob.mSubmission.mSteps[aKey.mStep];
@@ -199,7 +214,9 @@
   request.mService = aJob.mRoute->mService;
   request.mDataCenter = mDataCenter;
   request.mAvoid = one.mAvoid;
-  request.mDeadlineMs = MsBetween(aNow, aJob.mDeadline);
+  request.mAim = aAim;
+  request.mDeadlineMs =
+    MsBetween(aNow, std::min(aJob.mDeadline, aJob.mUsefulUntil));
   request.mObjectiveBaseMs =
     aJob.mRoute->mObjectiveBaseMs - MsBetween(aJob.mAcceptedAt, aNow);
   request.mObjectiveStretch = aJob.mRoute->mObjectiveStretch;
--- a/cactusmast/job_coordinator.h
+++ b/cactusmast/job_coordinator.h
@@ -155,6 +155,7 @@
     instant mAcceptedAt{};
     instant mObjectiveAt{};
     instant mDeadline{};
+    instant mUsefulUntil{}; // estimated
     std::vector<std::vector<task>> mTasks; // by step and index
     uint32_t mLeft = 0;
     bool mRan = false; // an attempt ended that was started
@@ -181,7 +182,14 @@
   // Places what can be placed, gathering the tasks of one job for one
   // executor into one order.
   void PlaceWaiting(instant aNow);
-  placement_verdict PlaceOne(job& aJob, const task_key& aKey, instant aNow);
+  // Returns what found no place, in the same order.
+  std::vector<task_key> PlaceAll(const std::vector<task_key>& aOrder,
+                                 placement_aim aAim,
+                                 instant aNow);
+  placement_verdict PlaceOne(job& aJob,
+                             const task_key& aKey,
+                             placement_aim aAim,
+                             instant aNow);
   void SendOrders(instant aNow);
   void RefreshFree(executor& aAt);
   void OnEnd(peer_id aPeer, const wire::task_end& aEnd, instant aNow);
@@ -210,6 +218,7 @@
   std::map<peer_id, executor> mExecutors;
   std::vector<server_view> mViews;
   bool mRoomChanged = false;
+  std::set<uint64_t> mHopeless; // jobs to end after this turn's placement
   // Orders of this turn by executor, job and step.
   std::map<std::tuple<peer_id, uint64_t, uint32_t>, std::vector<uint32_t>>
     mOrders;
--- a/cactusmast/placement.cc
+++ b/cactusmast/placement.cc
@@ -34,6 +34,8 @@
 // full use a task has to save this many ms to get its last room.
 constexpr double kFastShare = 0.8;
 constexpr double kScarceMs = 400;
+// A task that is late more probably than this yields to those that are not.
+constexpr double kTooLateRisk = 0.6;
 // With less chance than this a task is not started any more.
 constexpr double kHopelessRisk = 0.98;
 // Before a backend server has ended a task.
@@ -176,9 +178,13 @@
     later.mVerdict = placement_verdict::Wait;
     return later;
   }
-  if (nowCost < std::numeric_limits<double>::infinity()) {
-    now.mVerdict = placement_verdict::Place;
+  if (nowCost == std::numeric_limits<double>::infinity()) {
+    return now;
   }
+  bool late = now.mChoice.mForecast.mLateRisk > kTooLateRisk;
+  now.mVerdict = late && aRequest.mAim == placement_aim::InObjective
+                   ? placement_verdict::Wait
+                   : placement_verdict::Place;
   return now;
 }
 
--- a/cactusmast/placement.h
+++ b/cactusmast/placement.h
@@ -41,8 +41,16 @@
   instant mReportedAt{};
 };
 
+enum class placement_aim : uint8_t
+{
+  InObjective,    // only where it probably ends within the objective
+  BeforeDeadline, // anywhere
+  Count
+};
+
 struct placement_request
 {
+  placement_aim mAim = placement_aim::BeforeDeadline;
   const job_step* mStep = nullptr;
   std::string mService;
   std::string mDataCenter;      // of the entry
@@ -74,7 +82,8 @@
 enum class placement_verdict : uint8_t
 {
   Place,
-  Wait,     // a busy backend server is the better choice
+  Wait,     // a busy backend server is the better choice, or none meets
+            // the aim
   Hopeless, // no backend server can end it before the deadline
   Nowhere,  // none is usable at present
   Count
