Move or end tasks whose progress shows that they will miss their deadline

Change: executors forecast the end from the progress the backend server reports; the entry moves the task to a faster one, or answers at once if none can end it. Answers may be 8 ms nearer to the deadline.

--- a/cactusmast/events.h
+++ b/cactusmast/events.h
@@ -60,6 +60,7 @@
   JobCancelled = 403,
   TasksPlaced = 404,
   AttemptEnded = 405,
+  TaskTooSlow = 406,
   BudgetSpent = 410,
   LinesDropped = 411,
   ConfigAccepted = 500,
--- a/cactusmast/job_coordinator.cc
+++ b/cactusmast/job_coordinator.cc
@@ -17,7 +17,7 @@
 // where there is room by now. Twice the longest wait that is planned.
 constexpr uint32_t kStartWithinMs = 60;
 // The answer must be back before the caller stops waiting.
-constexpr duration kAnswerMargin = milliseconds(20);
+constexpr duration kAnswerMargin = milliseconds(12);
 // A caller that was refused for want of room is asked to come back after about
 // the length of the longest tasks in the queue.
 constexpr duration kRetryAfter = milliseconds(1000);
@@ -25,6 +25,11 @@
 // An answer is worth nothing to its caller after this many times the
 // objective: no task is started that could only end later.
 constexpr int kUsefulObjectives = 3;
+// A task that runs too slowly is started anew elsewhere if it would miss its
+// deadline there with less than this chance.
+constexpr double kWorthMovingRisk = 0.4;
+// Progress is known to about a tenth.
+constexpr double kSurelyLate = 1.2;
 // Steps that find no place are tried this many at a time: each costs a look at
 // all backend servers, about 5 us at 57 of them, and what is tried first is
 // most urgent.
@@ -201,6 +206,30 @@
   return left;
 }
 
+placement_request
+job_coordinator::RequestFor(const job& aJob,
+                            const task_key& aKey,
+                            instant aNow)
+{
+  const task& one = aJob.mTasks[aKey.mStep][aKey.mIndex];
+  placement_request request;
+  request.mStep = &aJob.mSubmission.mSteps[aKey.mStep];
+  bool measured = one.mMeasuredMs > 0;
+  request.mEstimateMs =
+    measured ? one.mMeasuredMs : request.mStep->mEstimateMs;
+  request.mEstimateSigma = measured ? kMeasuredSigma : kDeclaredSigma;
+  request.mService = aJob.mRoute->mService;
+  request.mDataCenter = mDataCenter;
+  request.mAvoid = one.mAvoid;
+  instant until =
+    measured ? aJob.mDeadline : std::min(aJob.mDeadline, aJob.mUsefulUntil);
+  request.mDeadlineMs = MsBetween(aNow, until);
+  request.mObjectiveBaseMs =
+    aJob.mRoute->mObjectiveBaseMs - MsBetween(aJob.mAcceptedAt, aNow);
+  request.mObjectiveStretch = aJob.mRoute->mObjectiveStretch;
+  return request;
+}
+
 placement_verdict
 job_coordinator::PlaceOne(job& aJob,
                           const task_key& aKey,
@@ -209,17 +238,8 @@
 {
   task& one = TaskOf(aJob, aKey);
   const job_step& step = aJob.mSubmission.mSteps[aKey.mStep];
-  placement_request request;
-  request.mStep = &step;
-  request.mService = aJob.mRoute->mService;
-  request.mDataCenter = mDataCenter;
-  request.mAvoid = one.mAvoid;
+  placement_request request = RequestFor(aJob, aKey, aNow);
   request.mAim = aAim;
-  request.mDeadlineMs =
-    MsBetween(aNow, std::min(aJob.mDeadline, aJob.mUsefulUntil));
-  request.mObjectiveBaseMs =
-    aJob.mRoute->mObjectiveBaseMs - MsBetween(aJob.mAcceptedAt, aNow);
-  request.mObjectiveStretch = aJob.mRoute->mObjectiveStretch;
   placement_decision decision = ChooseServer(mViews, request, mRandom);
   if (decision.mVerdict == placement_verdict::Nowhere && one.mAvoid != 0) {
     request.mAvoid = 0;
@@ -235,7 +255,9 @@
   one.mAt = view.mPeer;
   one.mAttempt++;
   mExecutors[view.mPeer].mTasks.insert(aKey);
-  mOrders[{ view.mPeer, aKey.mJob, aKey.mStep }].push_back(aKey.mIndex);
+  auto estimateMs = uint32_t(request.mEstimateMs);
+  mOrders[{ view.mPeer, aKey.mJob, aKey.mStep, estimateMs }].push_back(
+    aKey.mIndex);
   mCounters.mAttempts++;
   return placement_verdict::Place;
 }
@@ -247,7 +269,7 @@
     return std::chrono::duration_cast<milliseconds>(aSpan).count();
   };
   for (const auto& [place, indexes] : mOrders) {
-    auto [peer, id, stepNumber] = place;
+    auto [peer, id, stepNumber, estimateMs] = place;
     job& owner = mJobs.at(id);
     executor& at = mExecutors[peer];
     const job_step& step = owner.mSubmission.mSteps[stepNumber];
@@ -259,7 +281,7 @@
     order.cpu_millis = uint32_t(step.mSize.mCpuMillis);
     order.memory_mb = uint32_t(step.mSize.mMemoryMb);
     order.gpus = uint32_t(step.mSize.mGpus);
-    order.estimate_ms = step.mEstimateMs;
+    order.estimate_ms = estimateMs;
     order.urgent_in_ms = int32_t(toMs(
       std::get<0>(WaitingKey(owner, { id, stepNumber, 0 })) - aNow));
     order.start_within_ms = kStartWithinMs;
@@ -437,6 +459,68 @@
   for (const wire::task_end& end : aSaid.ends) {
     OnEnd(aPeer, end, aNow);
   }
+  for (const wire::task_forecast& forecast : aSaid.too_slow) {
+    OnTooSlow(aPeer, forecast, aNow);
+  }
+}
+
+// The task's own progress is a far better estimate than the declared one. If a
+// faster backend server can end it in time after a new start, it is withdrawn
+// here; once its end is reported it is placed anew.
+void
+job_coordinator::OnTooSlow(peer_id aPeer,
+                           const wire::task_forecast& aForecast,
+                           instant aNow)
+{
+  task_key key{ uint64_t(aForecast.job_high()) << 32 | aForecast.job_low(),
+                aForecast.step(),
+                aForecast.index() };
+  auto found = mJobs.find(key.mJob);
+  auto at = mExecutors.find(aPeer);
+  bool known = found != mJobs.end() && at != mExecutors.end() &&
+               key.mStep < found->second.mTasks.size() &&
+               key.mIndex < found->second.mTasks[key.mStep].size();
+  if (!known) {
+    return;
+  }
+  job& owner = found->second;
+  task& one = TaskOf(owner, key);
+  if (one.mState != task_state::Placed || one.mAt != aPeer ||
+      one.mAttempt != aForecast.attempt()) {
+    return;
+  }
+  one.mMeasuredMs =
+    uint32_t(aForecast.total_ms() / mViews[at->second.mView].mSlowness);
+  placement_request request = RequestFor(owner, key, aNow);
+  request.mAvoid = aPeer;
+  placement_decision decision = ChooseServer(mViews, request, mRandom);
+  bool better = decision.mVerdict == placement_verdict::Place &&
+                decision.mChoice.mForecast.mMissRisk < kWorthMovingRisk;
+  mEvents.Emit(
+    event_code::TaskTooSlow,
+    { { "job", JobText(key.mJob) },
+      { "index", std::to_string(key.mIndex) },
+      { "server", mViews[at->second.mView].mName },
+      { "total_ms", std::to_string(aForecast.total_ms()) },
+      { "left_ms", std::to_string(int(MsBetween(aNow, owner.mDeadline))) },
+      { "declared_ms", std::to_string(request.mStep->mEstimateMs) },
+      { "moves", better ? "yes" : "no" } });
+  bool hopeless = decision.mVerdict == placement_verdict::Hopeless &&
+                  aForecast.total_ms() > kSurelyLate * MsBetween(aNow, owner.mDeadline);
+  if (hopeless) {
+    Finish(key.mJob,
+           { job_ending::Expired, "cannot end before its deadline", {} },
+           aNow);
+    return;
+  }
+  if (!better) {
+    return;
+  }
+  wire::stop_tasks_msg order;
+  order.job = key.mJob;
+  order.step = key.mStep;
+  order.indexes.push_back(key.mIndex);
+  mLinks.Stop(aPeer, std::move(order));
 }
 
 void
--- a/cactusmast/job_coordinator.h
+++ b/cactusmast/job_coordinator.h
@@ -141,6 +141,7 @@
     peer_id mAt = 0;
     uint32_t mAttempt = 0;
     uint32_t mFailures = 0;
+    uint32_t mMeasuredMs = 0; // estimate by its own progress; 0: none yet
     peer_id mAvoid = 0;
     instant mSettledAt{};
   };
@@ -192,6 +193,12 @@
                              instant aNow);
   void SendOrders(instant aNow);
   void RefreshFree(executor& aAt);
+  void OnTooSlow(peer_id aPeer,
+                 const wire::task_forecast& aForecast,
+                 instant aNow);
+  placement_request RequestFor(const job& aJob,
+                               const task_key& aKey,
+                               instant aNow);
   void OnEnd(peer_id aPeer, const wire::task_end& aEnd, instant aNow);
   void Finish(uint64_t aJob, const job_outcome& aOutcome, instant aNow);
   void Withdraw(job& aJob, instant aNow);
@@ -219,8 +226,9 @@
   std::vector<server_view> mViews;
   bool mRoomChanged = false;
   std::set<uint64_t> mHopeless; // jobs to end after this turn's placement
-  // Orders of this turn by executor, job and step.
-  std::map<std::tuple<peer_id, uint64_t, uint32_t>, std::vector<uint32_t>>
+  // Orders of this turn by executor, job, step and estimate.
+  std::map<std::tuple<peer_id, uint64_t, uint32_t, uint32_t>,
+           std::vector<uint32_t>>
     mOrders;
   coordinator_counters mCounters;
 };
--- a/cactusmast/placement.cc
+++ b/cactusmast/placement.cc
@@ -17,8 +17,6 @@
 constexpr double kSpread = 0.1;
 // Another data centre is about this much farther there and back.
 constexpr double kOtherDataCenterMs = 1;
-// Estimates are off by a factor whose logarithm has about this deviation.
-constexpr double kEstimateSigma = 0.35;
 // Order, start, look and report take about this long beside the run itself.
 constexpr double kOverheadMs = 12;
 // Waits are forecast to about this many milliseconds.
@@ -117,7 +115,7 @@
 Forecast(const server_view& aView, const placement_request& aRequest)
 {
   placement_forecast made;
-  double estimateMs = std::max<double>(1, aRequest.mStep->mEstimateMs);
+  double estimateMs = std::max<double>(1, aRequest.mEstimateMs);
   made.mRunMs = estimateMs * aView.mSlowness;
   const std::string& rack = aRequest.mStep->mDataRack;
   if (!rack.empty() && !HasLabel(aView, rack)) {
@@ -127,7 +125,7 @@
   double leftMs = aRequest.mDeadlineMs - made.mWaitMs - kOverheadMs;
   made.mMissRisk =
     leftMs <= 0 ? 1
-                : NormalTail(std::log(leftMs / made.mRunMs) / kEstimateSigma);
+                : NormalTail(std::log(leftMs / made.mRunMs) / aRequest.mEstimateSigma);
   // Estimate and objective err together, so only the wait is uncertain.
   double slackMs = aRequest.mObjectiveBaseMs +
                    aRequest.mObjectiveStretch * estimateMs - made.mRunMs -
--- a/cactusmast/placement.h
+++ b/cactusmast/placement.h
@@ -48,10 +48,18 @@
   Count
 };
 
+// Of estimates that callers declare.
+constexpr double kDeclaredSigma = 0.35;
+// Of those that a task's own progress gave.
+constexpr double kMeasuredSigma = 0.1;
+
 struct placement_request
 {
   placement_aim mAim = placement_aim::BeforeDeadline;
   const job_step* mStep = nullptr;
+  double mEstimateMs = 0; // on a backend server of ordinary speed
+  // Deviation of the logarithm of the factor by which the estimate is off.
+  double mEstimateSigma = 0;
   std::string mService;
   std::string mDataCenter;      // of the entry
   peer_id mAvoid = 0;           // where the last attempt failed; 0: none
--- a/cactusmast/task_executor.cc
+++ b/cactusmast/task_executor.cc
@@ -36,6 +36,10 @@
 // begin as if one task of this length had taken what was estimated.
 constexpr double kLearnDecay = 0.9;
 constexpr double kPriorMs = 150;
+// Progress comes in whole percents: from here on the forecast is good to about
+// a tenth.
+constexpr duration kFirstForecastAfter = milliseconds(100);
+constexpr uint32_t kFirstForecastPercent = 5;
 // Run numbers are remembered for this many ended tasks; a caller sends its job
 // again within seconds.
 constexpr size_t kRememberedRuns = 4096;
@@ -565,6 +569,7 @@
                 found->second.mState != task_state::Queued;
     if (ours) {
       found->second.mSeenRunning = true;
+      NoticeProgress(found->second, run.mPercent, aNow);
       listed.insert(run.mTask);
       continue;
     }
@@ -600,6 +605,34 @@
   }
 }
 
+// Tells the task's entry once when its progress shows that it cannot end in
+// its time here. A faster backend server still may.
+void
+task_executor::NoticeProgress(task& aTask, uint32_t aPercent, instant aNow)
+{
+  duration ran = aNow - aTask.mOrderedAt;
+  bool early = ran < kFirstForecastAfter || aPercent < kFirstForecastPercent;
+  if (early || aTask.mToldSlow || aTask.mStopping) {
+    return;
+  }
+  duration total = ran * 100 / aPercent;
+  if (aTask.mOrderedAt + total <= aTask.mStopBy) {
+    return;
+  }
+  aTask.mToldSlow = true;
+  auto owner = mEntries.find(aTask.mOwner);
+  if (owner == mEntries.end()) {
+    return;
+  }
+  const task_key& key = aTask.mKey;
+  owner->second.mTooSlow.emplace_back(uint32_t(key.mJob >> 32),
+                                      uint32_t(key.mJob),
+                                      key.mStep,
+                                      key.mIndex,
+                                      aTask.mAttempt,
+                                      uint32_t(ToMs(total)));
+}
+
 void
 task_executor::NoticeBoot(int64_t aBornMs, instant aNow)
 {
@@ -792,7 +825,7 @@
 {
   for (auto& [peer, entry] : mEntries) {
     duration since = aNow - entry.mReportedAt;
-    bool due = !entry.mEnds.empty() ||
+    bool due = !entry.mEnds.empty() || !entry.mTooSlow.empty() ||
                (entry.mChanged && since >= kReportInterval) ||
                since >= kQuietReportInterval;
     if (!due) {
@@ -801,6 +834,8 @@
     wire::server_report_msg said;
     said.ends = std::move(entry.mEnds);
     entry.mEnds.clear();
+    said.too_slow = std::move(entry.mTooSlow);
+    entry.mTooSlow.clear();
     said.last_offer = entry.mLastOffer;
     said.state = uint8_t(State(aNow));
     said.service = mService;
--- a/cactusmast/task_executor.h
+++ b/cactusmast/task_executor.h
@@ -141,6 +141,7 @@
     instant mOrderedAt{};
     instant mSettledAt{}; // start or stop was answered; 0: neither
     bool mSeenRunning = false;
+    bool mToldSlow = false;
     bool mStopping = false;
     bool mStopAnswered = false;
     instant mNextStop{};
@@ -156,6 +157,7 @@
     instant mReportedAt{};
     uint64_t mLastOffer = 0;
     std::vector<wire::task_end> mEnds;
+    std::vector<wire::task_forecast> mTooSlow;
     bool mChanged = true;
   };
 
@@ -183,6 +185,7 @@
   void Learn(const task& aTask, attempt_outcome aOutcome, instant aNow);
   void ApplyEnds(const server_snapshot& aSeen, instant aNow);
   void ApplyRunning(const server_snapshot& aSeen, instant aSent, instant aNow);
+  void NoticeProgress(task& aTask, uint32_t aPercent, instant aNow);
   void NoticeBoot(int64_t aBornMs, instant aNow);
   void DropSilentEntries(instant aNow);
   void ExpireTasks(instant aNow);
