--- a/cactusmast/entry_directory.cc
+++ b/cactusmast/entry_directory.cc
@@ -10,7 +10,7 @@
 // An entry that restarts is back within about a second; the pause between two
 // dials decides how much later its executors serve it.
 constexpr duration kFirstPause = milliseconds(100);
-constexpr duration kLongestPause = milliseconds(800);
+constexpr duration kLongestPause = milliseconds(400);
 constexpr duration kForgetAfter = std::chrono::seconds(60);
 
 } // namespace
--- a/shell/coordinator_daemon.cc
+++ b/shell/coordinator_daemon.cc
@@ -21,7 +21,6 @@
 // The longest jobs last 1.5 s: what is accepted up to here ends within the
 // time of a planned stop.
 constexpr duration kAcceptWhileDraining = milliseconds(4000);
-constexpr uint32_t kStopMarginMs = 400;
 // Headers and body before a configuration is known.
 constexpr size_t kMaxBody = 1u << 20;
 
--- a/shell/instance_daemon.cc
+++ b/shell/instance_daemon.cc
@@ -5,10 +5,13 @@
 namespace cactusmast {
 namespace {
 
-// A handshake is four messages; an address that does not answer within this
-// time is dialled anew, since a lost first packet is repeated only after a
-// second.
-constexpr uint32_t kHandshakeLimitMs = 900;
+// A handshake is four messages of under 15 ms each way. An address that does
+// not answer within this time is dialled anew: TCP repeats a lost first packet
+// only after a second, in which an entry that has just come back would be
+// without executors.
+constexpr uint32_t kHandshakeLimitMs = 350;
+// What a planned stop keeps back for the last answers to leave.
+constexpr uint32_t kStopMarginMs = 600;
 // Settings change a few times a day at most.
 constexpr duration kFileCheckInterval = std::chrono::seconds(2);
 constexpr size_t kMaxMetricsRequest = 4096;
@@ -34,6 +37,12 @@
   }
 }
 
+uint32_t
+instance_daemon::DrainTimeMs() const
+{
+  return mInstance.mStopWithinMs - kStopMarginMs;
+}
+
 void
 instance_daemon::OpenInstance()
 {
--- a/shell/instance_daemon.h
+++ b/shell/instance_daemon.h
@@ -24,6 +24,10 @@
   : public daemon_loop
   , public transport_listener
 {
+public:
+  // How long a planned stop may take.
+  uint32_t DrainTimeMs() const;
+
 protected:
   instance_daemon(const instance_settings& aSettings,
                   process_role aRole,
