--- a/cactusmast/job_coordinator.cc
+++ b/cactusmast/job_coordinator.cc
@@ -30,6 +30,10 @@
 constexpr double kWorthMovingRisk = 0.4;
 // Progress is known to about a tenth.
 constexpr double kSurelyLate = 1.2;
+// With less than this share of all room free, a job that can only be late any
+// more and of which nothing was started is refused: it would take the room that
+// the next ones need to be in time, so that in the end all are late.
+constexpr double kScarceRoom = 0.1;
 // Steps that find no place are tried this many at a time: each costs a look at
 // all backend servers, about 5 us at 57 of them, and what is tried first is
 // most urgent.
@@ -167,7 +171,7 @@
   // from what is left. Otherwise, once work backs up, each answer would be
   // late.
   std::vector<task_key> late = PlaceAll(order, placement_aim::InObjective, aNow);
-  PlaceAll(late, placement_aim::BeforeDeadline, aNow);
+  PlaceAll(ShedLate(late, aNow), placement_aim::BeforeDeadline, aNow);
   SendOrders(aNow);
   std::set<uint64_t> hopeless = std::move(mHopeless);
   mHopeless.clear();
@@ -176,6 +180,32 @@
   }
 }
 
+std::vector<task_key>
+job_coordinator::ShedLate(const std::vector<task_key>& aLate, instant aNow)
+{
+  std::vector<task_key> kept;
+  std::set<uint64_t> shed;
+  for (const task_key& key : aLate) {
+    const job& owner = mJobs.at(key.mJob);
+    bool unstarted = !MayHaveRun(owner);
+    bool scarce = FreeShare(mViews, owner.mRoute->mService) < kScarceRoom;
+    // It may be late only because the backend servers that it would be in time
+    // on have no room at this moment.
+    bool late = std::get<0>(WaitingKey(owner, key)) <= aNow;
+    if (unstarted && scarce && late) {
+      shed.insert(key.mJob);
+    } else {
+      kept.push_back(key);
+    }
+  }
+  for (uint64_t id : shed) {
+    Finish(id,
+           { job_ending::Refused, "no room within its objective", kRetryAfter },
+           aNow);
+  }
+  return kept;
+}
+
 std::vector<task_key>
 job_coordinator::PlaceAll(const std::vector<task_key>& aOrder,
                           placement_aim aAim,
--- a/cactusmast/job_coordinator.h
+++ b/cactusmast/job_coordinator.h
@@ -183,6 +183,9 @@
   // Places what can be placed, gathering the tasks of one job for one
   // executor into one order.
   void PlaceWaiting(instant aNow);
+  // Refuses jobs that would be late while room is short; returns the others.
+  std::vector<task_key> ShedLate(const std::vector<task_key>& aLate,
+                                 instant aNow);
   // Returns what found no place, in the same order.
   std::vector<task_key> PlaceAll(const std::vector<task_key>& aOrder,
                                  placement_aim aAim,
--- a/cactusmast/placement.cc
+++ b/cactusmast/placement.cc
@@ -186,6 +186,20 @@
   return now;
 }
 
+double
+FreeShare(const std::vector<server_view>& aViews, const std::string& aService)
+{
+  int64_t free = 0;
+  int64_t all = 0;
+  for (const server_view& view : aViews) {
+    if (view.mState == server_state::Ready && view.mService == aService) {
+      free += std::max<int64_t>(0, view.mFree.mCpuMillis);
+      all += view.mCapacity.mCpuMillis;
+    }
+  }
+  return all == 0 ? 0 : double(free) / double(all);
+}
+
 bool
 CanNeverRun(const std::vector<server_view>& aViews,
             const std::string& aService,
--- a/cactusmast/placement.h
+++ b/cactusmast/placement.h
@@ -115,6 +115,11 @@
              const placement_request& aRequest,
              random_source& aRandom);
 
+// The part of the processors of a service's ready backend servers that is
+// unused; 0 when there are none.
+double
+FreeShare(const std::vector<server_view>& aViews, const std::string& aService);
+
 // Whether all backend servers of the service have reported, and none of them
 // could hold aStep. What is not known yet counts as able to hold it: an entry
 // that has just started must not give a job up for want of reports.
--- a/shell/coordinator_daemon.cc
+++ b/shell/coordinator_daemon.cc
@@ -11,13 +11,16 @@
 // Entries come and go rarely, and other sources tell of them too.
 constexpr uint32_t kEntryWaitMs = 10000;
 // Another entry gets the configuration from the store as fast as this one.
-// Only one that still lacks it after this time is sent a copy.
+// Only one that still lacks it after this time is sent a copy, or one that has
+// none at all.
 constexpr duration kConfigCopyAfter = milliseconds(300);
 constexpr duration kEntrySilence = milliseconds(1000);
 constexpr duration kAnnounceRetry = milliseconds(1000);
 // The balancer asks once a second whether this entry is ready and sends no new
-// connections after two refusals. Until then they still come, and are served.
-constexpr duration kBalancerNotice = milliseconds(2500);
+// connections after two refusals. From here on answers close their connection,
+// so that callers with an open one have three seconds to move elsewhere before
+// nothing is accepted any more; a caller who comes back early pays a handshake.
+constexpr duration kCloseAfter = milliseconds(1000);
 // The longest jobs last 1.5 s: what is accepted up to here ends within the
 // time of a planned stop.
 constexpr duration kAcceptWhileDraining = milliseconds(4000);
@@ -109,7 +112,7 @@
   answer.mStatus = aStatus;
   answer.mBody = aBody;
   answer.mClose = mDrainingSince.count() != 0 &&
-                  Now() - mDrainingSince > kBalancerNotice;
+                  Now() - mDrainingSince > kCloseAfter;
   mFront->Answer(aExchange, answer);
 }
 
@@ -426,7 +429,7 @@
 {
   bool lacks = aAt.mConfigVersion < mConfig.Version() &&
                aAt.mSentVersion < mConfig.Version() &&
-               aNow - mConfigAt > kConfigCopyAfter;
+               (aAt.mConfigVersion == 0 || aNow - mConfigAt > kConfigCopyAfter);
   if (!lacks) {
     return;
   }
