Forecast when room gets free, and turn orders back at once

Change: executors forecast from the progress of what runs when the next task would start, report that, and refuse at once what would start too late.

--- a/cactusmast/job_coordinator.cc
+++ b/cactusmast/job_coordinator.cc
@@ -13,9 +13,9 @@
   "expired"
 };
 
-// An order that did not start by then comes back, so that the task can go
-// where there is room by now. Twice the longest wait that is planned.
-constexpr uint32_t kStartWithinMs = 60;
+// An order that would not start by then comes back, so that the task can go
+// where there is room by now. Somewhat over the longest wait that is planned.
+constexpr uint32_t kStartWithinMs = 40;
 // The answer must be back before the caller stops waiting.
 constexpr duration kAnswerMargin = milliseconds(12);
 // A caller that was refused for want of room is asked to come back after about
@@ -163,6 +163,9 @@
 job_coordinator::PlaceWaiting(instant aNow)
 {
   mRoomChanged = false;
+  for (server_view& view : mViews) {
+    view.mAgeMs = MsBetween(view.mReportedAt, aNow);
+  }
   std::vector<task_key> order;
   for (const waiting_key& key : mWaiting) {
     order.push_back(std::get<2>(key));
@@ -280,6 +283,7 @@
   }
   server_view& view = mViews[decision.mChoice.mView];
   view.mFree -= step.mSize;
+  view.mUnreportedCpuMillis += step.mSize.mCpuMillis;
   mWaiting.erase(WaitingKey(aJob, aKey));
   one.mState = task_state::Placed;
   one.mAt = view.mPeer;
@@ -445,10 +449,13 @@
 job_coordinator::RefreshFree(executor& aAt)
 {
   task_size free = aAt.mReportedFree;
+  task_size unreported;
   for (const auto& [offer, size] : aAt.mUnreported) {
-    free -= size;
+    unreported += size;
   }
+  free -= unreported;
   mViews[aAt.mView].mFree = free;
+  mViews[aAt.mView].mUnreportedCpuMillis = unreported.mCpuMillis;
 }
 
 void
@@ -477,6 +484,7 @@
   view.mQueuedCpuMillis = aSaid.queued_cpu_millis;
   view.mSlowness = aSaid.slowness_permille / 1000.0;
   view.mMeanRunMs = aSaid.mean_run_ms;
+  view.mRoomInMs = aSaid.room_in_ms;
   view.mLabels = aSaid.labels;
   view.mReportedAt = aNow;
   at.mReportedFree = { aSaid.free_cpu_millis,
@@ -595,12 +603,6 @@
   one.mAt = 0;
   if (NeverStarted(outcome)) {
     mCounters.mBounced++;
-    if (at != mExecutors.end()) {
-      // Not again before its next report.
-      mViews[at->second.mView].mFree.mCpuMillis = 0;
-      mViews[at->second.mView].mQueuedCpuMillis =
-        mViews[at->second.mView].mCapacity.mCpuMillis;
-    }
   } else {
     one.mAvoid = aPeer;
     owner.mRan = true;
--- a/cactusmast/placement.cc
+++ b/cactusmast/placement.cc
@@ -36,6 +36,8 @@
 constexpr double kTooLateRisk = 0.6;
 // With less chance than this a task is not started any more.
 constexpr double kHopelessRisk = 0.98;
+// Where there is no room, some time passes until there is.
+constexpr double kLeastWaitMs = 3;
 // Before a backend server has ended a task.
 constexpr double kUnknownMeanRunMs = 200;
 
@@ -101,14 +103,14 @@
   if (aSize.FitsIn(aView.mFree) && aView.mQueuedCpuMillis == 0) {
     return 0;
   }
-  // Room is freed at the rate at which the running tasks end.
-  int64_t lacking =
-    aSize.mCpuMillis + aView.mQueuedCpuMillis - aView.mFree.mCpuMillis;
-  double share = double(std::max<int64_t>(lacking, aSize.mCpuMillis / 2)) /
-                 double(std::max<int64_t>(aView.mCapacity.mCpuMillis, 1));
+  // The executor's own forecast, and behind it what this entry has ordered
+  // since. Room is freed at the rate at which the running tasks end.
   double meanRunMs =
     aView.mMeanRunMs > 0 ? aView.mMeanRunMs : kUnknownMeanRunMs;
-  return share * meanRunMs;
+  double ahead = double(aView.mUnreportedCpuMillis) /
+                 double(std::max<int64_t>(aView.mCapacity.mCpuMillis, 1));
+  return std::max(kLeastWaitMs, aView.mRoomInMs - aView.mAgeMs) +
+         ahead * meanRunMs;
 }
 
 placement_forecast
--- a/cactusmast/placement.h
+++ b/cactusmast/placement.h
@@ -37,6 +37,10 @@
   int64_t mQueuedCpuMillis = 0;
   double mSlowness = 1.0; // run time over estimate
   double mMeanRunMs = 0;  // of tasks that ended there lately
+  double mRoomInMs = 0;   // from the report until another task would start
+  double mAgeMs = 0;      // of the report
+  // Ordered by this entry and not accounted for by the report.
+  int64_t mUnreportedCpuMillis = 0;
   std::vector<std::string> mLabels;
   instant mReportedAt{};
 };
--- a/cactusmast/task_executor.cc
+++ b/cactusmast/task_executor.cc
@@ -40,6 +40,8 @@
 // a tenth.
 constexpr duration kFirstForecastAfter = milliseconds(100);
 constexpr uint32_t kFirstForecastPercent = 5;
+// A task that runs longer than forecast ends soon, or its forecast was wrong.
+constexpr duration kOverdueEnd = milliseconds(10);
 // Run numbers are remembered for this many ended tasks; a caller sends its job
 // again within seconds.
 constexpr size_t kRememberedRuns = 4096;
@@ -171,6 +173,11 @@
     refuse(attempt_outcome::NoRoom);
     return;
   }
+  if (ExpectedStart(size, aNow) > aNow + milliseconds(aOrder.start_within_ms)) {
+    // Told at once, the entry can still place it elsewhere in time.
+    refuse(attempt_outcome::NoRoom);
+    return;
+  }
   task& made = mTasks[key];
   made.mKey = key;
   made.mOwner = aEntry;
@@ -266,6 +273,63 @@
   return aNow < mIllUntil ? server_state::Ill : server_state::Ready;
 }
 
+instant
+task_executor::ExpectedEnd(const task& aTask, instant aNow) const
+{
+  duration total;
+  if (aTask.mPercent >= kFirstForecastPercent) {
+    total = (aTask.mPercentAt - aTask.mOrderedAt) * 100 / aTask.mPercent;
+  } else {
+    total = duration(int64_t(aTask.mEstimateMs * Slowness() * 1000));
+  }
+  return std::max(aTask.mOrderedAt + total, aNow + kOverdueEnd);
+}
+
+instant
+task_executor::ExpectedStart(const task_size& aSize, instant aNow) const
+{
+  std::vector<std::pair<instant, task_size>> ends;
+  for (const auto& [key, one] : mTasks) {
+    if (one.mState != task_state::Queued) {
+      ends.emplace_back(ExpectedEnd(one, aNow), one.mSize);
+    }
+  }
+  std::sort(ends.begin(), ends.end(), [](const auto& aLeft, const auto& aRight) {
+    return aLeft.first < aRight.first;
+  });
+  task_size free = mFree;
+  instant start = aNow;
+  size_t next = 0;
+  auto fit = [&](const task_size& aOne) {
+    while (!aOne.FitsIn(free) && next < ends.size()) {
+      start = ends[next].first;
+      free += ends[next].second;
+      next++;
+    }
+    free -= aOne;
+  };
+  for (const auto& [urgent, key] : mQueue) {
+    fit(mTasks.at(key).mSize);
+  }
+  fit(aSize);
+  return start;
+}
+
+task_size
+task_executor::OrdinarySize() const
+{
+  size_t running = Running();
+  if (running == 0) {
+    return {};
+  }
+  task_size used = mServer.mCapacity;
+  used -= mFree;
+  auto count = int64_t(running);
+  return { used.mCpuMillis / count,
+           used.mMemoryMb / count,
+           used.mGpus / count };
+}
+
 bool
 task_executor::MayStart(instant aNow) const
 {
@@ -611,6 +675,8 @@
 task_executor::NoticeProgress(task& aTask, uint32_t aPercent, instant aNow)
 {
   duration ran = aNow - aTask.mOrderedAt;
+  aTask.mPercent = aPercent;
+  aTask.mPercentAt = aNow;
   bool early = ran < kFirstForecastAfter || aPercent < kFirstForecastPercent;
   if (early || aTask.mToldSlow || aTask.mStopping) {
     return;
@@ -851,6 +917,8 @@
     }
     said.queued_cpu_millis = uint32_t(queued);
     said.running = uint32_t(Running());
+    said.room_in_ms =
+      uint32_t(ToMs(ExpectedStart(OrdinarySize(), aNow) - aNow));
     said.mean_run_ms = uint32_t(mMeanRunMs);
     said.slowness_permille = uint32_t(Slowness() * 1000);
     said.labels = mServer.mLabels;
--- a/cactusmast/task_executor.h
+++ b/cactusmast/task_executor.h
@@ -141,6 +141,8 @@
     instant mOrderedAt{};
     instant mSettledAt{}; // start or stop was answered; 0: neither
     bool mSeenRunning = false;
+    uint32_t mPercent = 0;  // of its work, when last seen
+    instant mPercentAt{};
     bool mToldSlow = false;
     bool mStopping = false;
     bool mStopAnswered = false;
@@ -169,6 +171,10 @@
               const wire::task_attempt& aAttempt,
               const std::shared_ptr<const std::string>& aSpec,
               instant aNow);
+  // When another task of aSize would start, behind all that is queued.
+  instant ExpectedStart(const task_size& aSize, instant aNow) const;
+  instant ExpectedEnd(const task& aTask, instant aNow) const;
+  task_size OrdinarySize() const;
   bool MayStart(instant aNow) const;
   void StartWhatFits(instant aNow);
   void OrderStart(task& aTask, instant aNow);
