--- a/cactusmast/backend_runner.h
+++ b/cactusmast/backend_runner.h
@@ -35,7 +35,7 @@
 
 struct look_order
 {
-  uint64_t mNumber = 0; // comes back with the answer
+  uint64_t mNumber = 0;      // comes back with the answer
   int64_t mLeaseUntilMs = 0; // 0: the lease is left as it is
   uint64_t mFence = 0;
   uint64_t mLastEndSeen = 0; // ends up to this one need not be listed again
@@ -45,15 +45,15 @@
 enum class start_result : uint8_t
 {
   Started,
-  LeaseOver,  // the lease in the order had ended when it arrived
-  NoRoom,     // the backend server's own check found no room
-  OldRun,     // this run or a later one was stopped or ended before
-  FencedOff,  // a greater fencing token was seen
-  Unhealthy,  // refused by an ill backend server, which has done nothing
-  OtherBoot,  // another life of the backend server answered; nothing done
-  Malformed,  // the order can never be carried out
+  LeaseOver,   // the lease in the order had ended when it arrived
+  NoRoom,      // the backend server's own check found no room
+  OldRun,      // this run or a later one was stopped or ended before
+  FencedOff,   // a greater fencing token was seen
+  Unhealthy,   // refused by an ill backend server, which has done nothing
+  OtherBoot,   // another life of the backend server answered; nothing done
+  Malformed,   // the order can never be carried out
   Unreachable, // no connection was made, so nothing was sent
-  NoAnswer,   // may be carried out, now or seconds later
+  NoAnswer,    // may be carried out, now or seconds later
   Count
 };
 
--- a/cactusmast/instance_settings.h
+++ b/cactusmast/instance_settings.h
@@ -20,13 +20,13 @@
   std::string mName;
   std::string mDataCenter;
   std::string mRegion;
-  std::string mHost;       // this instance's IP number
-  uint32_t mPeerPort = 0;  // the same on all instances
+  std::string mHost;      // this instance's IP number
+  uint32_t mPeerPort = 0; // the same on all instances
   // Entries that may be there, as HOST:PORT by number; only the hosts count.
   std::vector<std::string> mSeeds;
-  std::string mStore;      // HOST:PORT of the platform's table store
-  std::string mMetrics;    // HOST:PORT
-  std::string mSharedKey;  // which processes prove to each other
+  std::string mStore;         // HOST:PORT of the platform's table store
+  std::string mMetrics;       // HOST:PORT
+  std::string mSharedKey;     // which processes prove to each other
   uint32_t mStopWithinMs = 0; // from the signal to the end of a planned stop
 
   std::string PeerAddress() const { return AddressAt(mHost); }
--- a/cactusmast/job_coordinator.cc
+++ b/cactusmast/job_coordinator.cc
@@ -6,12 +6,8 @@
 namespace cactusmast {
 namespace {
 
-constexpr std::array<std::string_view, size_t(job_ending::Count)> kEndings = {
-  "completed",
-  "failed",
-  "refused",
-  "expired"
-};
+constexpr std::array<std::string_view, size_t(job_ending::Count)>
+  kEndings = { "completed", "failed", "refused", "expired" };
 
 // An order that would not start by then comes back, so that the task can go
 // where there is room by now. Somewhat over the longest wait that is planned.
@@ -127,14 +123,14 @@
       Enqueue(made, { made.mId, uint32_t(s), uint32_t(i) });
     }
   }
-  mEvents.Emit(event_code::JobAccepted,
-               { { "job", JobText(made.mId) },
-                 { "route", way.mName },
-                 { "config_version",
-                   std::to_string(made.mTable->Config().mVersion) },
-                 { "tasks", std::to_string(made.mLeft) },
-                 { "estimate_ms", std::to_string(longest) },
-                 { "wait_ms", std::to_string(waitMs) } });
+  mEvents.Emit(
+    event_code::JobAccepted,
+    { { "job", JobText(made.mId) },
+      { "route", way.mName },
+      { "config_version", std::to_string(made.mTable->Config().mVersion) },
+      { "tasks", std::to_string(made.mLeft) },
+      { "estimate_ms", std::to_string(longest) },
+      { "wait_ms", std::to_string(waitMs) } });
   PlaceWaiting(aNow);
 }
 
@@ -173,13 +169,17 @@
   // Tasks that would meet their objective come first; the others are served
   // from what is left. Otherwise, once work backs up, each answer would be
   // late.
-  std::vector<task_key> late = PlaceAll(order, placement_aim::InObjective, aNow);
+  std::vector<task_key> late =
+    PlaceAll(order, placement_aim::InObjective, aNow);
   PlaceAll(ShedLate(late, aNow), placement_aim::BeforeDeadline, aNow);
   SendOrders(aNow);
   std::set<uint64_t> hopeless = std::move(mHopeless);
   mHopeless.clear();
   for (uint64_t id : hopeless) {
-    Finish(id, ExpiryOf(mJobs.at(id)), aNow);
+    auto found = mJobs.find(id); // it may have been shed in this same turn
+    if (found != mJobs.end()) {
+      Finish(id, ExpiryOf(found->second), aNow);
+    }
   }
 }
 
@@ -240,16 +240,13 @@
 }
 
 placement_request
-job_coordinator::RequestFor(const job& aJob,
-                            const task_key& aKey,
-                            instant aNow)
+job_coordinator::RequestFor(const job& aJob, const task_key& aKey, instant aNow)
 {
   const task& one = aJob.mTasks[aKey.mStep][aKey.mIndex];
   placement_request request;
   request.mStep = &aJob.mSubmission.mSteps[aKey.mStep];
   bool measured = one.mMeasuredMs > 0;
-  request.mEstimateMs =
-    measured ? one.mMeasuredMs : request.mStep->mEstimateMs;
+  request.mEstimateMs = measured ? one.mMeasuredMs : request.mStep->mEstimateMs;
   request.mEstimateSigma = measured ? kMeasuredSigma : kDeclaredSigma;
   request.mService = aJob.mRoute->mService;
   request.mDataCenter = mDataCenter;
@@ -316,28 +313,27 @@
     order.memory_mb = uint32_t(step.mSize.mMemoryMb);
     order.gpus = uint32_t(step.mSize.mGpus);
     order.estimate_ms = estimateMs;
-    order.urgent_in_ms = int32_t(toMs(
-      std::get<0>(WaitingKey(owner, { id, stepNumber, 0 })) - aNow));
+    order.urgent_in_ms = int32_t(
+      toMs(std::get<0>(WaitingKey(owner, { id, stepNumber, 0 })) - aNow));
     order.start_within_ms = kStartWithinMs;
-    order.stop_after_ms = uint32_t(
-      std::max<int64_t>(0, toMs(owner.mDeadline - aNow)));
+    order.stop_after_ms =
+      uint32_t(std::max<int64_t>(0, toMs(owner.mDeadline - aNow)));
     task_size size;
     for (uint32_t index : indexes) {
-      order.tasks.emplace_back(index,
-                               owner.mTasks[stepNumber][index].mAttempt);
+      order.tasks.emplace_back(index, owner.mTasks[stepNumber][index].mAttempt);
       size += step.mSize;
     }
     at.mUnreported[order.offer] = size;
     mCounters.mOrders++;
-    mEvents.Emit(event_code::TasksPlaced,
-                 { { "job", JobText(id) },
-                   { "server", mViews[at.mView].mName },
-                   { "tasks", std::to_string(indexes.size()) },
-                   { "free_cpu_millis",
-                     std::to_string(mViews[at.mView].mFree.mCpuMillis) },
-                   { "age_ms",
-                     std::to_string(
-                       toMs(aNow - mViews[at.mView].mReportedAt)) } });
+    mEvents.Emit(
+      event_code::TasksPlaced,
+      { { "job", JobText(id) },
+        { "server", mViews[at.mView].mName },
+        { "tasks", std::to_string(indexes.size()) },
+        { "free_cpu_millis",
+          std::to_string(mViews[at.mView].mFree.mCpuMillis) },
+        { "age_ms",
+          std::to_string(toMs(aNow - mViews[at.mView].mReportedAt)) } });
     mLinks.Start(peer, std::move(order));
   }
   mOrders.clear();
@@ -437,6 +433,8 @@
   if (found == mJobs.end()) {
     return;
   }
+  // Nobody can say any more whether it was started.
+  found->second.mRan = true;
   task& one = TaskOf(found->second, aKey);
   one.mState = task_state::Settling;
   one.mAt = 0;
@@ -543,8 +541,9 @@
       { "left_ms", std::to_string(int(MsBetween(aNow, owner.mDeadline))) },
       { "declared_ms", std::to_string(request.mStep->mEstimateMs) },
       { "moves", better ? "yes" : "no" } });
-  bool hopeless = decision.mVerdict == placement_verdict::Hopeless &&
-                  aForecast.total_ms() > kSurelyLate * MsBetween(aNow, owner.mDeadline);
+  bool hopeless =
+    decision.mVerdict == placement_verdict::Hopeless &&
+    aForecast.total_ms() > kSurelyLate * MsBetween(aNow, owner.mDeadline);
   if (hopeless) {
     Finish(key.mJob,
            { job_ending::Expired, "cannot end before its deadline", {} },
@@ -687,18 +686,17 @@
       attempts += one.mAttempt;
     }
   }
-  mEvents.Emit(
-    event_code::JobDecided,
-    { { "job", JobText(aJob.mId) },
-      { "route", aJob.mRoute->mName },
-      { "ending", std::string(Name(aOutcome.mEnding)) },
-      { "reason", aOutcome.mReason },
-      { "took_ms", std::to_string(tookMs) },
-      { "in_objective", aNow <= aJob.mObjectiveAt ? "yes" : "no" },
-      { "left", std::to_string(aJob.mLeft) },
-      { "waiting", std::to_string(waiting) },
-      { "settling", std::to_string(settling) },
-      { "attempts", std::to_string(attempts) } });
+  mEvents.Emit(event_code::JobDecided,
+               { { "job", JobText(aJob.mId) },
+                 { "route", aJob.mRoute->mName },
+                 { "ending", std::string(Name(aOutcome.mEnding)) },
+                 { "reason", aOutcome.mReason },
+                 { "took_ms", std::to_string(tookMs) },
+                 { "in_objective", aNow <= aJob.mObjectiveAt ? "yes" : "no" },
+                 { "left", std::to_string(aJob.mLeft) },
+                 { "waiting", std::to_string(waiting) },
+                 { "settling", std::to_string(settling) },
+                 { "attempts", std::to_string(attempts) } });
 }
 
 void
@@ -807,8 +805,8 @@
 size_t
 job_coordinator::ReadyServers() const
 {
-  return size_t(std::count_if(
-    mViews.begin(), mViews.end(), [](const server_view& aView) {
+  return size_t(
+    std::count_if(mViews.begin(), mViews.end(), [](const server_view& aView) {
       return aView.mState == server_state::Ready;
     }));
 }
--- a/cactusmast/job_coordinator.h
+++ b/cactusmast/job_coordinator.h
@@ -156,7 +156,7 @@
     instant mAcceptedAt{};
     instant mObjectiveAt{};
     instant mDeadline{};
-    instant mUsefulUntil{}; // estimated
+    instant mUsefulUntil{};                // estimated
     std::vector<std::vector<task>> mTasks; // by step and index
     uint32_t mLeft = 0;
     bool mRan = false; // an attempt ended that was started
--- a/cactusmast/placement.cc
+++ b/cactusmast/placement.cc
@@ -54,10 +54,8 @@
   const job_step& step = *aRequest.mStep;
   return aView.mState == server_state::Ready &&
          aView.mService == aRequest.mService &&
-         aView.mPeer != aRequest.mAvoid &&
-         step.mSize.FitsIn(aView.mCapacity) &&
-         (step.mRequiredLabel.empty() ||
-          HasLabel(aView, step.mRequiredLabel));
+         aView.mPeer != aRequest.mAvoid && step.mSize.FitsIn(aView.mCapacity) &&
+         (step.mRequiredLabel.empty() || HasLabel(aView, step.mRequiredLabel));
 }
 
 double
@@ -126,8 +124,9 @@
   made.mWaitMs = ExpectedWaitMs(aView, aRequest.mStep->mSize);
   double leftMs = aRequest.mDeadlineMs - made.mWaitMs - kOverheadMs;
   made.mMissRisk =
-    leftMs <= 0 ? 1
-                : NormalTail(std::log(leftMs / made.mRunMs) / aRequest.mEstimateSigma);
+    leftMs <= 0
+      ? 1
+      : NormalTail(std::log(leftMs / made.mRunMs) / aRequest.mEstimateSigma);
   // Estimate and objective err together, so only the wait is uncertain.
   double slackMs = aRequest.mObjectiveBaseMs +
                    aRequest.mObjectiveStretch * estimateMs - made.mRunMs -
@@ -217,9 +216,9 @@
       continue;
     }
     anyKnown = true;
-    bool holds = aStep.mSize.FitsIn(view.mCapacity) &&
-                 (aStep.mRequiredLabel.empty() ||
-                  HasLabel(view, aStep.mRequiredLabel));
+    bool holds =
+      aStep.mSize.FitsIn(view.mCapacity) &&
+      (aStep.mRequiredLabel.empty() || HasLabel(view, aStep.mRequiredLabel));
     if (holds) {
       return false;
     }
--- a/cactusmast/placement.h
+++ b/cactusmast/placement.h
@@ -65,10 +65,10 @@
   // Deviation of the logarithm of the factor by which the estimate is off.
   double mEstimateSigma = 0;
   std::string mService;
-  std::string mDataCenter;      // of the entry
-  peer_id mAvoid = 0;           // where the last attempt failed; 0: none
-  double mFarFactor = 1.0;      // run time away from the data over near it
-  double mDeadlineMs = 0;       // from now
+  std::string mDataCenter; // of the entry
+  peer_id mAvoid = 0;      // where the last attempt failed; 0: none
+  double mFarFactor = 1.0; // run time away from the data over near it
+  double mDeadlineMs = 0;  // from now
   // The objective, from now, is mObjectiveBaseMs plus the run time on a
   // backend server of ordinary speed times mObjectiveStretch.
   double mObjectiveBaseMs = 0;
@@ -129,8 +129,8 @@
 // that has just started must not give a job up for want of reports.
 bool
 CanNeverRun(const std::vector<server_view>& aViews,
-             const std::string& aService,
-             const job_step& aStep);
+            const std::string& aService,
+            const job_step& aStep);
 
 } // namespace cactusmast
 
--- a/cactusmast/route_config.cc
+++ b/cactusmast/route_config.cc
@@ -11,10 +11,11 @@
     mByHost[one.mHost].push_back(&one);
   }
   for (auto& [host, routes] : mByHost) {
-    std::sort(
-      routes.begin(), routes.end(), [](const route* aLeft, const route* aRight) {
-        return aLeft->mPrefix.size() > aRight->mPrefix.size();
-      });
+    std::sort(routes.begin(),
+              routes.end(),
+              [](const route* aLeft, const route* aRight) {
+                return aLeft->mPrefix.size() > aRight->mPrefix.size();
+              });
   }
 }
 
--- a/cactusmast/settings.cc
+++ b/cactusmast/settings.cc
@@ -92,8 +92,7 @@
         error_code::BadRequest,
         "read settings",
         aFile,
-        aFile +
-          ":1: role must be one of entry, guard, coordinator, executor");
+        aFile + ":1: role must be one of entry, guard, coordinator, executor");
     }
     return role;
   });
--- a/cactusmast/settings_reader.h
+++ b/cactusmast/settings_reader.h
@@ -203,7 +203,6 @@
   }
 }
 
-
 } // namespace detail
 } // namespace cactusmast
 
--- a/cactusmast/sized_task.cc
+++ b/cactusmast/sized_task.cc
@@ -12,12 +12,8 @@
   kOutcomes = { "done",     "failed",  "no_room", "leaving",
                 "unusable", "stopped", "lost" };
 
-constexpr std::array<std::string_view, size_t(server_state::Count)> kStates = {
-  "absent",
-  "ready",
-  "draining",
-  "ill"
-};
+constexpr std::array<std::string_view, size_t(server_state::Count)>
+  kStates = { "absent", "ready", "draining", "ill" };
 
 } // namespace
 
--- a/cactusmast/table_watcher.cc
+++ b/cactusmast/table_watcher.cc
@@ -66,9 +66,9 @@
     return;
   }
   if (!mAvailable || !mEverAnswered) {
-    mEvents.Emit(event_code::TableAvailable,
-                 { { "table", mTable },
-                   { "version", std::to_string(aAnswer.mVersion) } });
+    mEvents.Emit(
+      event_code::TableAvailable,
+      { { "table", mTable }, { "version", std::to_string(aAnswer.mVersion) } });
   }
   mAvailable = true;
   mEverAnswered = true;
--- a/cactusmast/task_executor.cc
+++ b/cactusmast/task_executor.cc
@@ -58,8 +58,12 @@
       uint32_t aRunMs,
       attempt_outcome aOutcome)
 {
-  return { uint32_t(aKey.mJob >> 32), uint32_t(aKey.mJob), aKey.mStep,
-           aKey.mIndex,               aAttempt,            aRunMs,
+  return { uint32_t(aKey.mJob >> 32),
+           uint32_t(aKey.mJob),
+           aKey.mStep,
+           aKey.mIndex,
+           aAttempt,
+           aRunMs,
            uint8_t(aOutcome) };
 }
 
@@ -79,9 +83,7 @@
 }
 
 void
-task_executor::OnEntryUp(peer_id aEntry,
-                         const std::string& aName,
-                         instant aNow)
+task_executor::OnEntryUp(peer_id aEntry, const std::string& aName, instant aNow)
 {
   entry_link& added = mEntries[aEntry];
   added.mName = aName;
@@ -294,9 +296,10 @@
       ends.emplace_back(ExpectedEnd(one, aNow), one.mSize);
     }
   }
-  std::sort(ends.begin(), ends.end(), [](const auto& aLeft, const auto& aRight) {
-    return aLeft.first < aRight.first;
-  });
+  std::sort(
+    ends.begin(), ends.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.first < aRight.first;
+    });
   task_size free = mFree;
   instant start = aNow;
   size_t next = 0;
@@ -411,20 +414,19 @@
     mClockKnown = true;
   }
   auto found = mTasks.find(aTask);
-  bool current =
-    found != mTasks.end() && found->second.mRun == aRun &&
-    (found->second.mState == task_state::Starting ||
-     found->second.mState == task_state::Unsettled);
+  bool current = found != mTasks.end() && found->second.mRun == aRun &&
+                 (found->second.mState == task_state::Starting ||
+                  found->second.mState == task_state::Unsettled);
   if (!current) {
     return;
   }
   task& one = found->second;
   if (aResult != start_result::Started) {
-    mEvents.Emit(event_code::StartNotMade,
-                 { { "task", JobText(aTask.mJob) + "." +
-                               std::to_string(aTask.mIndex) },
-                   { "run", std::to_string(aRun) },
-                   { "result", std::to_string(int(aResult)) } });
+    mEvents.Emit(
+      event_code::StartNotMade,
+      { { "task", JobText(aTask.mJob) + "." + std::to_string(aTask.mIndex) },
+        { "run", std::to_string(aRun) },
+        { "result", std::to_string(int(aResult)) } });
   }
   switch (aResult) {
     case start_result::Started:
@@ -532,7 +534,8 @@
   // to lease.
   bool steady = mClockKnown && aNow - mSeenAt < kSilentAfter;
   order.mLeaseUntilMs = steady ? LeaseUntil(aNow) : 0;
-  order.mWaitMs = steady && !mStrays ? uint32_t(kLookWait.count()) : 0;
+  milliseconds wait = Running() > 0 ? kLookWait : kIdleLookWait;
+  order.mWaitMs = steady && !mStrays ? uint32_t(wait.count()) : 0;
   mLooks[order.mNumber] = aNow;
   mLookLateAt = aNow + milliseconds(order.mWaitMs) + kLookPatience;
   mRunner.Look(order);
@@ -654,18 +657,15 @@
   mStrays = strays;
   std::vector<task_key> gone;
   for (const auto& [key, one] : mTasks) {
-    bool settled =
-      one.mState != task_state::Queued && one.mSettledAt.count() != 0 &&
-      one.mSettledAt < aSent;
+    bool settled = one.mState != task_state::Queued &&
+                   one.mSettledAt.count() != 0 && one.mSettledAt < aSent;
     if (settled && listed.count(key) == 0) {
       gone.push_back(key);
     }
   }
   for (const task_key& key : gone) {
     task& one = mTasks.at(key);
-    End(key,
-        one.mStopping ? one.mStopOutcome : attempt_outcome::Lost,
-        aNow);
+    End(key, one.mStopping ? one.mStopOutcome : attempt_outcome::Lost, aNow);
   }
 }
 
@@ -712,9 +712,9 @@
     return;
   }
   mClockKnown = false;
-  mEvents.Emit(event_code::BackendReborn,
-               { { "server", mServer.mId },
-                 { "lost", std::to_string(Running()) } });
+  mEvents.Emit(
+    event_code::BackendReborn,
+    { { "server", mServer.mId }, { "lost", std::to_string(Running()) } });
   EndAllOrdered(attempt_outcome::Lost, aNow);
   mFailuresInRow = 0;
   mIllUntil = instant(0);
@@ -776,9 +776,7 @@
 }
 
 void
-task_executor::End(const task_key& aKey,
-                   attempt_outcome aOutcome,
-                   instant aNow)
+task_executor::End(const task_key& aKey, attempt_outcome aOutcome, instant aNow)
 {
   auto found = mTasks.find(aKey);
   task& one = found->second;
@@ -802,9 +800,8 @@
   }
   auto owner = mEntries.find(one.mOwner);
   if (owner != mEntries.end()) {
-    uint32_t runMs = one.mOrderedAt.count() == 0
-                       ? 0
-                       : uint32_t(ToMs(aNow - one.mOrderedAt));
+    uint32_t runMs =
+      one.mOrderedAt.count() == 0 ? 0 : uint32_t(ToMs(aNow - one.mOrderedAt));
     owner->second.mEnds.push_back(EndOf(aKey, one.mAttempt, runMs, aOutcome));
   }
   mTasks.erase(found);
--- a/cactusmast/task_executor.h
+++ b/cactusmast/task_executor.h
@@ -46,7 +46,8 @@
 // the tasks of an executor that was killed are over before its entries may
 // place them again; three looks fit in.
 constexpr milliseconds kLeaseTime = milliseconds(500);
-constexpr milliseconds kLookWait = milliseconds(60);
+constexpr milliseconds kLookWait = milliseconds(30);
+constexpr milliseconds kIdleLookWait = milliseconds(100);
 // A look that is not answered this long after its wait is taken to be lost and
 // followed by another: while none is answered, ends and free room go unseen.
 // With one look in twenty lost, waiting 350 ms for each cost half of a backend
@@ -141,7 +142,7 @@
     instant mOrderedAt{};
     instant mSettledAt{}; // start or stop was answered; 0: neither
     bool mSeenRunning = false;
-    uint32_t mPercent = 0;  // of its work, when last seen
+    uint32_t mPercent = 0; // of its work, when last seen
     instant mPercentAt{};
     bool mToldSlow = false;
     bool mStopping = false;
--- /dev/null
+++ b/cactusmast/testing/sized_world.cc
@@ -0,0 +1,835 @@
+#include "cactusmast/testing/sized_world.h"
+
+#include <algorithm>
+
+namespace cactusmast::testing {
+namespace {
+
+constexpr duration kWay = std::chrono::microseconds(500); // of a message
+constexpr duration kTick = milliseconds(10);
+constexpr duration kResend = milliseconds(1300);
+constexpr duration kDialInterval = milliseconds(100);
+constexpr duration kHeartbeat = milliseconds(1500);
+constexpr duration kOrderTimeout = milliseconds(30);
+
+} // namespace
+
+// --- backend server
+
+fake_server::fake_server(sized_world& aWorld, size_t aIndex)
+  : mWorld(aWorld)
+  , mIndex(aIndex)
+{
+}
+
+int64_t
+fake_server::ClockMs() const
+{
+  return std::chrono::duration_cast<milliseconds>(mWorld.Now()).count() -
+         mBornMs + 1000;
+}
+
+void
+fake_server::After(duration aDelay, std::function<void()> aDo)
+{
+  mWorld.At(aDelay, std::move(aDo));
+}
+
+bool
+fake_server::Unanswered()
+{
+  return mDown || mWorld.Uniform() < mUnansweredShare;
+}
+
+bool
+fake_server::IsRunning(const task_key& aTask) const
+{
+  return mRunning.count(aTask) > 0;
+}
+
+start_result
+fake_server::CarryOut(const start_order& aOrder)
+{
+  if (aOrder.mFence < mFence) {
+    return start_result::FencedOff;
+  }
+  mFence = aOrder.mFence;
+  auto running = mRunning.find(aOrder.mTask);
+  if (running != mRunning.end() && running->second.mRun == aOrder.mRun) {
+    return start_result::Started;
+  }
+  auto last = mLastRun.find(aOrder.mTask);
+  if (running != mRunning.end() ||
+      (last != mLastRun.end() && aOrder.mRun <= last->second)) {
+    return start_result::OldRun;
+  }
+  if (aOrder.mLeaseUntilMs <= ClockMs()) {
+    return start_result::LeaseOver;
+  }
+  mLeaseUntilMs = std::max(mLeaseUntilMs, aOrder.mLeaseUntilMs);
+  run& started = mRunning[aOrder.mTask];
+  started.mRun = aOrder.mRun;
+  started.mSince = mWorld.Now();
+  started.mAdvancedAt = mWorld.Now();
+  started.mWorkMs = std::stod(aOrder.mSpec);
+  started.mCpu = 3000;
+  mStarts++;
+  mWorld.NoteStart(aOrder.mTask, mIndex);
+  return start_result::Started;
+}
+
+void
+fake_server::Start(const start_order& aOrder)
+{
+  auto answer = [this, aOrder](start_result aResult) {
+    After(kWay, [this, aOrder, aResult] {
+      mWorld.Deliver(true, mIndex, [this, aOrder, aResult] {
+        mWorld.Executor(mIndex).OnStartAnswer(
+          aOrder.mTask, aOrder.mRun, aResult, ClockMs(), mWorld.Now());
+      });
+    });
+  };
+  if (!Unanswered()) {
+    answer(CarryOut(aOrder));
+    return;
+  }
+  if (!mDown) {
+    After(milliseconds(int64_t(2000 + 2000 * mWorld.Uniform())),
+          [this, aOrder, born = mBornMs] {
+            if (born == mBornMs && !mDown) {
+              CarryOut(aOrder);
+            }
+          });
+  }
+  After(kOrderTimeout, [answer] { answer(start_result::NoAnswer); });
+}
+
+void
+fake_server::CarryOut(const stop_order& aOrder)
+{
+  auto running = mRunning.find(aOrder.mTask);
+  if (running != mRunning.end() && running->second.mRun <= aOrder.mRun) {
+    End(aOrder.mTask, end_kind::Stopped);
+  }
+  uint32_t& last = mLastRun[aOrder.mTask];
+  last = std::max(last, aOrder.mRun);
+}
+
+void
+fake_server::Stop(const stop_order& aOrder)
+{
+  auto answer = [this, aOrder](bool aAnswered) {
+    After(kWay, [this, aOrder, aAnswered] {
+      mWorld.Deliver(true, mIndex, [this, aOrder, aAnswered] {
+        mWorld.Executor(mIndex).OnStopAnswer(
+          aOrder.mTask, aOrder.mRun, aAnswered, mWorld.Now());
+      });
+    });
+  };
+  if (!Unanswered()) {
+    CarryOut(aOrder);
+    answer(true);
+    return;
+  }
+  After(kOrderTimeout, [answer] { answer(false); });
+}
+
+server_snapshot
+fake_server::CarryOut(const look_order& aOrder)
+{
+  if (aOrder.mLeaseUntilMs > 0) {
+    mLeaseUntilMs = std::max(mLeaseUntilMs, aOrder.mLeaseUntilMs);
+  }
+  while (!mEnded.empty() && mEnded.front().mNumber <= aOrder.mLastEndSeen) {
+    mEnded.pop_front();
+  }
+  server_snapshot seen;
+  seen.mClockMs = ClockMs();
+  seen.mBornMs = mBornMs;
+  for (const auto& [key, one] : mRunning) {
+    running_task row;
+    row.mTask = key;
+    row.mRun = one.mRun;
+    row.mPercent = uint32_t(std::min(99.0, 100 * one.mDoneMs / one.mWorkMs));
+    seen.mRunning.push_back(row);
+  }
+  seen.mEnded.assign(mEnded.begin(), mEnded.end());
+  return seen;
+}
+
+void
+fake_server::Look(const look_order& aOrder)
+{
+  auto answer = [this, aOrder](look_result aResult,
+                               const server_snapshot& aSeen) {
+    After(kWay, [this, aOrder, aResult, aSeen] {
+      mWorld.Deliver(true, mIndex, [this, aOrder, aResult, aSeen] {
+        mWorld.Executor(mIndex).OnLookAnswer(
+          aOrder.mNumber, aResult, aSeen, mWorld.Now());
+      });
+    });
+  };
+  if (Unanswered()) {
+    After(milliseconds(aOrder.mWaitMs) + kOrderTimeout,
+          [answer] { answer(look_result::NoAnswer, {}); });
+    return;
+  }
+  server_snapshot now = CarryOut(aOrder);
+  if (!now.mEnded.empty() || aOrder.mWaitMs == 0) {
+    answer(look_result::Seen, now);
+    return;
+  }
+  // Answered at the next end or after the wait, whichever comes first.
+  uint64_t number = aOrder.mNumber;
+  auto finish = [this, aOrder, answer] {
+    if (!mDown) {
+      answer(look_result::Seen, CarryOut(aOrder));
+    }
+  };
+  mWaitingLooks.emplace_back(number, finish);
+  After(milliseconds(aOrder.mWaitMs), [this, number] {
+    for (auto at = mWaitingLooks.begin(); at != mWaitingLooks.end(); ++at) {
+      if (at->first == number) {
+        auto run = at->second;
+        mWaitingLooks.erase(at);
+        run();
+        return;
+      }
+    }
+  });
+}
+
+void
+fake_server::End(const task_key& aTask, end_kind aHow)
+{
+  auto found = mRunning.find(aTask);
+  ended_task end;
+  end.mNumber = ++mEnds;
+  end.mTask = aTask;
+  end.mRun = found->second.mRun;
+  end.mHow = aHow;
+  mEnded.push_back(end);
+  mLastRun[aTask] = end.mRun;
+  mRunning.erase(found);
+  mWorld.NoteEnd(aTask, aHow);
+  mWorld.mRunningAt[aTask].erase(mIndex);
+  auto waiting = std::move(mWaitingLooks);
+  mWaitingLooks.clear();
+  for (auto& [number, finish] : waiting) {
+    finish();
+  }
+}
+
+void
+fake_server::Advance()
+{
+  if (mDown) {
+    return;
+  }
+  bool lapsed = ClockMs() >= mLeaseUntilMs;
+  std::vector<std::pair<task_key, end_kind>> ends;
+  int64_t cpu = 0;
+  for (auto& [key, one] : mRunning) {
+    double passed =
+      double((mWorld.Now() - one.mAdvancedAt).count()) / 1000 * mSpeed;
+    one.mAdvancedAt = mWorld.Now();
+    one.mDoneMs += mHangs ? 0 : passed;
+    cpu += one.mCpu;
+    if (lapsed) {
+      ends.emplace_back(key, end_kind::Lapsed);
+    } else if (one.mDoneMs >= one.mWorkMs) {
+      ends.emplace_back(key, mFailsAll ? end_kind::Failed : end_kind::Done);
+    }
+  }
+  if (cpu > mCapacity.mCpuMillis) {
+    mWorld.Violate("server " + std::to_string(mIndex) + " over capacity");
+  }
+  for (const auto& [key, how] : ends) {
+    if (mRunning.count(key) > 0) {
+      End(key, how);
+    }
+  }
+}
+
+void
+fake_server::Crash()
+{
+  for (const auto& [key, one] : mRunning) {
+    mWorld.mRunningAt[key].erase(mIndex);
+  }
+  mRunning.clear();
+  mLastRun.clear();
+  mEnded.clear();
+  mWaitingLooks.clear();
+  mEnds = 0;
+  mFence = 0;
+  mSequence = 0;
+  mLeaseUntilMs = 0;
+  mDraining = false;
+  mBornMs = std::chrono::duration_cast<milliseconds>(mWorld.Now()).count();
+}
+
+server_announcement
+fake_server::Announce()
+{
+  server_announcement said;
+  said.mId = "s" + std::to_string(mIndex) + "-" + std::to_string(mBornMs);
+  said.mService = "service";
+  said.mBornMs = mBornMs;
+  said.mSequence = ++mSequence;
+  said.mDraining = mDraining;
+  said.mCapacity = mCapacity;
+  return said;
+}
+
+// --- processes
+
+struct sized_world::entry
+  : public coordinator_links
+  , public job_answers
+  , public random_source
+{
+  entry(sized_world& aWorld, size_t aIndex)
+    : mWorld(aWorld)
+    , mIndex(aIndex)
+    , mLife(aWorld.mNextLife++)
+    , mCore(std::make_unique<job_coordinator>("a",
+                                              *this,
+                                              *this,
+                                              *this,
+                                              aWorld.mEvents))
+  {
+  }
+
+  void Start(peer_id aExecutor, wire::start_tasks_msg aOrder) override
+  {
+    mWorld.Send(aExecutor, true, [this, aExecutor, aOrder] {
+      const link& way = mWorld.mLinks.at(aExecutor);
+      mWorld.Executor(way.mServer).OnStartTasks(aExecutor, aOrder, mWorld.mNow);
+    });
+  }
+  void Stop(peer_id aExecutor, wire::stop_tasks_msg aOrder) override
+  {
+    mWorld.Send(aExecutor, true, [this, aExecutor, aOrder] {
+      const link& way = mWorld.mLinks.at(aExecutor);
+      mWorld.Executor(way.mServer).OnStopTasks(aExecutor, aOrder, mWorld.mNow);
+    });
+  }
+  void Drop(peer_id aExecutor) override
+  {
+    mWorld.CloseLink(aExecutor, false, true);
+  }
+  void Answer(caller_id aCaller, const job_outcome& aOutcome) override
+  {
+    mWorld.OnAnswer(aCaller, aOutcome);
+  }
+  double NextUniform() override { return mWorld.Uniform(); }
+
+  sized_world& mWorld;
+  size_t mIndex;
+  uint64_t mLife;
+  bool mUp = true;
+  instant mPausedUntil{};
+  instant mNextPulse{};
+  std::unique_ptr<job_coordinator> mCore;
+};
+
+struct sized_world::executor : public executor_links
+{
+  executor(sized_world& aWorld, size_t aIndex)
+    : mWorld(aWorld)
+    , mIndex(aIndex)
+    , mLife(aWorld.mNextLife++)
+    , mCore(std::make_unique<task_executor>(mLife,
+                                            "service",
+                                            *this,
+                                            *aWorld.mServers[aIndex],
+                                            aWorld.mEvents))
+  {
+  }
+
+  void Report(peer_id aEntry, const wire::server_report_msg& aSaid) override
+  {
+    mWorld.Send(aEntry, false, [this, aEntry, aSaid] {
+      const link& way = mWorld.mLinks.at(aEntry);
+      mWorld.Coordinator(way.mEntry).OnReport(aEntry, aSaid, mWorld.mNow);
+    });
+  }
+  void Drop(peer_id aEntry) override { mWorld.CloseLink(aEntry, true, false); }
+
+  sized_world& mWorld;
+  size_t mIndex;
+  uint64_t mLife;
+  bool mUp = true;
+  instant mPausedUntil{};
+  instant mNextHeartbeat{};
+  std::unique_ptr<task_executor> mCore;
+};
+
+// --- world
+
+sized_world::sized_world(size_t aEntries, size_t aServers, uint32_t aSeed)
+  : mRandom(aSeed)
+{
+  route_config config;
+  config.mVersion = 1;
+  route way;
+  way.mName = "route";
+  way.mHost = "host";
+  way.mPrefix = "/";
+  way.mService = "service";
+  way.mTimeoutMs = 60000;
+  way.mObjectiveBaseMs = 60;
+  way.mObjectiveStretch = 1.6;
+  way.mMaxAttempts = 3;
+  config.mRoutes.push_back(way);
+  mTable = std::make_shared<const route_table>(config);
+  for (size_t i = 0; i < aServers; i++) {
+    mServers.push_back(std::make_unique<fake_server>(*this, i));
+  }
+  for (size_t i = 0; i < aServers; i++) {
+    mExecutors.push_back(std::make_unique<executor>(*this, i));
+  }
+  for (size_t i = 0; i < aEntries; i++) {
+    mEntries.push_back(std::make_unique<entry>(*this, i));
+  }
+  Run(milliseconds(300));
+}
+
+sized_world::~sized_world() = default;
+
+job_coordinator&
+sized_world::Coordinator(size_t aIndex)
+{
+  return *mEntries[aIndex]->mCore;
+}
+
+task_executor&
+sized_world::Executor(size_t aIndex)
+{
+  return *mExecutors[aIndex]->mCore;
+}
+
+bool
+sized_world::ExecutorUp(size_t aIndex) const
+{
+  return mExecutors[aIndex]->mUp;
+}
+
+void
+sized_world::At(duration aFromNow, std::function<void()> aDo)
+{
+  mQueue.emplace(mNow + aFromNow, std::move(aDo));
+}
+
+void
+sized_world::Run(duration aSpan)
+{
+  instant end = mNow + aSpan;
+  instant nextTick = mNow;
+  instant nextDial = mNow;
+  constexpr duration kStep = std::chrono::milliseconds(1);
+  while (mNow < end) {
+    mNow += kStep;
+    while (!mQueue.empty() && mQueue.begin()->first <= mNow) {
+      auto run = std::move(mQueue.begin()->second);
+      mQueue.erase(mQueue.begin());
+      run();
+    }
+    for (auto& server : mServers) {
+      server->Advance();
+    }
+    if (mNow >= nextDial) {
+      nextDial = mNow + kDialInterval;
+      ConnectAll();
+    }
+    if (mNow >= nextTick) {
+      nextTick = mNow + kTick;
+      TickAll();
+    }
+  }
+}
+
+void
+sized_world::TickAll()
+{
+  for (auto& one : mEntries) {
+    if (!one->mUp || mNow < one->mPausedUntil) {
+      continue;
+    }
+    one->mCore->Tick(mNow);
+    if (mNow < one->mNextPulse) {
+      continue;
+    }
+    one->mNextPulse = mNow + kPulseInterval;
+    std::vector<peer_id> own;
+    for (const auto& [id, way] : mLinks) {
+      if (way.mUp && way.mEntry == one->mIndex &&
+          way.mEntryLife == one->mLife) {
+        own.push_back(id);
+      }
+    }
+    for (peer_id id : own) {
+      Send(id, true, [this, id] {
+        Executor(mLinks.at(id).mServer).OnPulse(id, mNow);
+      });
+    }
+  }
+  for (auto& one : mExecutors) {
+    if (!one->mUp || mNow < one->mPausedUntil) {
+      continue;
+    }
+    bool serverUp = !mServers[one->mIndex]->mDown;
+    if (serverUp && mNow >= one->mNextHeartbeat) {
+      one->mNextHeartbeat = mNow + kHeartbeat;
+      one->mCore->OnAnnouncement(mServers[one->mIndex]->Announce(), mNow);
+    }
+    one->mCore->Tick(mNow);
+  }
+}
+
+bool
+sized_world::IsCut(size_t aEntry, size_t aServer) const
+{
+  auto found = mCuts.find({ aEntry, aServer });
+  return found != mCuts.end() && mNow < found->second;
+}
+
+void
+sized_world::ConnectAll()
+{
+  for (auto& in : mEntries) {
+    for (auto& out : mExecutors) {
+      bool able = in->mUp && out->mUp && mNow >= in->mPausedUntil &&
+                  mNow >= out->mPausedUntil && !IsCut(in->mIndex, out->mIndex);
+      bool linked =
+        std::any_of(mLinks.begin(), mLinks.end(), [&](const auto& aLink) {
+          const link& way = aLink.second;
+          return way.mUp && way.mEntry == in->mIndex &&
+                 way.mServer == out->mIndex &&
+                 way.mExecutorLife == out->mLife && way.mEntryLife == in->mLife;
+        });
+      if (!able || linked) {
+        continue;
+      }
+      peer_id id = mNextLink++;
+      mLinks[id] = { in->mIndex, out->mIndex, true, in->mLife, out->mLife };
+      peer_identity who;
+      who.mName = "executor" + std::to_string(out->mIndex);
+      who.mDataCenter = "a";
+      in->mCore->OnExecutorUp(id, who, mNow);
+      out->mCore->OnEntryUp(id, "entry" + std::to_string(in->mIndex), mNow);
+    }
+  }
+}
+
+// Runs aDo at the process when it is awake; drops it when the process is not
+// the one that it was meant for any more.
+void
+sized_world::Deliver(bool aToExecutor, size_t aIndex, std::function<void()> aDo)
+{
+  bool up = aToExecutor ? mExecutors[aIndex]->mUp : mEntries[aIndex]->mUp;
+  uint64_t life =
+    aToExecutor ? mExecutors[aIndex]->mLife : mEntries[aIndex]->mLife;
+  instant until = aToExecutor ? mExecutors[aIndex]->mPausedUntil
+                              : mEntries[aIndex]->mPausedUntil;
+  if (!up) {
+    return;
+  }
+  if (mNow < until) {
+    mQueue.emplace(until, [this, aToExecutor, aIndex, life, aDo] {
+      uint64_t now =
+        aToExecutor ? mExecutors[aIndex]->mLife : mEntries[aIndex]->mLife;
+      if (now == life) {
+        Deliver(aToExecutor, aIndex, aDo);
+      }
+    });
+    return;
+  }
+  aDo();
+  // Daemons take a turn soon after each input.
+  if (aToExecutor) {
+    mExecutors[aIndex]->mCore->Tick(mNow);
+  } else {
+    mEntries[aIndex]->mCore->Tick(mNow);
+  }
+}
+
+void
+sized_world::Send(peer_id aLink,
+                  bool aToExecutor,
+                  std::function<void()> aDeliver)
+{
+  At(kWay, [this, aLink, aToExecutor, aDeliver] {
+    auto found = mLinks.find(aLink);
+    if (found == mLinks.end() || !found->second.mUp) {
+      return;
+    }
+    const link& way = found->second;
+    if (IsCut(way.mEntry, way.mServer)) {
+      return;
+    }
+    size_t index = aToExecutor ? way.mServer : way.mEntry;
+    uint64_t life = aToExecutor ? way.mExecutorLife : way.mEntryLife;
+    Deliver(
+      aToExecutor, index, [this, aLink, aToExecutor, index, life, aDeliver] {
+        uint64_t now =
+          aToExecutor ? mExecutors[index]->mLife : mEntries[index]->mLife;
+        if (mLinks.at(aLink).mUp && now == life) {
+          aDeliver();
+        }
+      });
+  });
+}
+
+void
+sized_world::CloseLink(peer_id aLink, bool aTellEntry, bool aTellExecutor)
+{
+  auto found = mLinks.find(aLink);
+  if (found == mLinks.end() || !found->second.mUp) {
+    return;
+  }
+  found->second.mUp = false;
+  link way = found->second;
+  // A reset does not pass a cut: the other side has only its own time-out.
+  if (IsCut(way.mEntry, way.mServer)) {
+    return;
+  }
+  At(kWay, [this, aLink, way, aTellEntry, aTellExecutor] {
+    if (aTellEntry && mEntries[way.mEntry]->mLife == way.mEntryLife) {
+      Deliver(false, way.mEntry, [this, aLink, way] {
+        Coordinator(way.mEntry).OnExecutorDown(aLink, mNow);
+      });
+    }
+    if (aTellExecutor && mExecutors[way.mServer]->mLife == way.mExecutorLife) {
+      Deliver(true, way.mServer, [this, aLink, way] {
+        Executor(way.mServer).OnEntryDown(aLink, mNow);
+      });
+    }
+  });
+}
+
+void
+sized_world::Cut(size_t aEntry, size_t aServer, duration aSpan)
+{
+  mCuts[{ aEntry, aServer }] = mNow + aSpan;
+}
+
+void
+sized_world::KillEntry(size_t aEntry, duration aDown)
+{
+  entry& killed = *mEntries[aEntry];
+  killed.mUp = false;
+  for (auto& [id, way] : mLinks) {
+    if (way.mUp && way.mEntry == aEntry && way.mEntryLife == killed.mLife) {
+      CloseLink(id, false, true);
+    }
+  }
+  for (size_t i = 0; i < mCallers.size(); i++) {
+    caller_record& one = mCallers[i];
+    if (one.mEntry != aEntry || one.mAnswered || one.mLost) {
+      continue;
+    }
+    one.mLost = true;
+    uint64_t job = one.mJob;
+    At(kResend, [this, job, aEntry] {
+      SubmitAgain(job, (aEntry + 1) % mEntries.size());
+    });
+  }
+  At(aDown, [this, aEntry] {
+    mEntries[aEntry] = std::make_unique<entry>(*this, aEntry);
+  });
+}
+
+void
+sized_world::KillExecutor(size_t aServer, duration aDown)
+{
+  executor& killed = *mExecutors[aServer];
+  killed.mUp = false;
+  for (auto& [id, way] : mLinks) {
+    if (way.mUp && way.mServer == aServer &&
+        way.mExecutorLife == killed.mLife) {
+      CloseLink(id, true, false);
+    }
+  }
+  At(aDown, [this, aServer] {
+    mExecutors[aServer] = std::make_unique<executor>(*this, aServer);
+  });
+}
+
+void
+sized_world::PauseEntry(size_t aEntry, duration aSpan)
+{
+  mEntries[aEntry]->mPausedUntil = mNow + aSpan;
+}
+
+void
+sized_world::PauseExecutor(size_t aServer, duration aSpan)
+{
+  mExecutors[aServer]->mPausedUntil = mNow + aSpan;
+}
+
+void
+sized_world::DrainExecutor(size_t aServer)
+{
+  mExecutors[aServer]->mCore->Drain(mNow);
+}
+
+void
+sized_world::DrainServer(size_t aServer)
+{
+  mServers[aServer]->mDraining = true;
+  mExecutors[aServer]->mNextHeartbeat = mNow;
+}
+
+uint64_t
+sized_world::Submit(size_t aEntry,
+                    uint32_t aTasks,
+                    uint32_t aWorkMs,
+                    uint32_t aDeadlineMs)
+{
+  uint64_t job = mJobs.size() + 1;
+  job_submission submission;
+  submission.mSpec = std::to_string(aWorkMs);
+  job_step step;
+  step.mCount = aTasks;
+  step.mSize = { 3000, 64, 0 };
+  step.mEstimateMs = aWorkMs;
+  submission.mSteps.push_back(step);
+  mJobs[job] = submission;
+  mDeadlines[job] = aDeadlineMs;
+  SubmitAgain(job, aEntry);
+  return job;
+}
+
+void
+sized_world::SubmitAgain(uint64_t aJob, size_t aEntry)
+{
+  caller_record record;
+  record.mJob = aJob;
+  record.mEntry = aEntry;
+  record.mSentAt = mNow;
+  mCallers.push_back(record);
+  if (!mEntries[aEntry]->mUp) {
+    mCallers.back().mLost = true;
+    return;
+  }
+  job_request request;
+  request.mCaller = mCallers.size() - 1;
+  request.mJob = aJob;
+  request.mSubmission = mJobs[aJob];
+  request.mTable = mTable;
+  request.mRoute = &mTable->Config().mRoutes[0];
+  request.mWaitMs = mDeadlines[aJob];
+  Hand(request, aEntry);
+}
+
+void
+sized_world::Hand(const job_request& aRequest, size_t aEntry)
+{
+  Deliver(false, aEntry, [this, aRequest, aEntry] {
+    if (!mCallers[aRequest.mCaller].mLost) {
+      Coordinator(aEntry).Submit(aRequest, mNow);
+    }
+  });
+}
+
+void
+sized_world::HangUp(uint64_t aJob)
+{
+  for (size_t i = 0; i < mCallers.size(); i++) {
+    caller_record& one = mCallers[i];
+    if (one.mJob == aJob && !one.mAnswered && !one.mLost) {
+      one.mLost = true;
+      Deliver(false, one.mEntry, [this, i, entry = one.mEntry] {
+        Coordinator(entry).OnCallerGone(i, mNow);
+      });
+    }
+  }
+}
+
+void
+sized_world::OnAnswer(caller_id aCaller, const job_outcome& aOutcome)
+{
+  caller_record& one = mCallers[aCaller];
+  if (one.mAnswered) {
+    Violate("caller " + std::to_string(aCaller) + " was answered twice");
+  }
+  one.mAnswered = true;
+  one.mEnding = aOutcome.mEnding;
+  one.mAnsweredAt = mNow;
+  const job_submission& job = mJobs[one.mJob];
+  if (aOutcome.mEnding == job_ending::Completed &&
+      mDone[one.mJob].size() < job.mSteps[0].mCount) {
+    Violate("job " + std::to_string(one.mJob) +
+            " is called complete with tasks left");
+  }
+  bool first = mStartedJobs.count(one.mJob) == 0;
+  if (aOutcome.mEnding == job_ending::Refused && !first) {
+    // Started by an earlier submission is allowed; that one was not refused.
+    bool earlier = std::any_of(
+      mCallers.begin(), mCallers.end(), [&](const caller_record& aOther) {
+        return aOther.mJob == one.mJob && aOther.mLost;
+      });
+    if (!earlier) {
+      Violate("job " + std::to_string(one.mJob) + " ran and was refused");
+    }
+  }
+}
+
+void
+sized_world::Violate(const std::string& aText)
+{
+  mViolations.push_back(std::to_string(mNow.count() / 1000) + " ms: " + aText);
+}
+
+void
+sized_world::NoteStart(const task_key& aTask, size_t aServer)
+{
+  mStartedJobs.insert(aTask.mJob);
+  std::set<size_t>& at = mRunningAt[aTask];
+  at.insert(aServer);
+  if (at.size() > 1) {
+    Violate("task " + std::to_string(aTask.mJob) + "." +
+            std::to_string(aTask.mIndex) + " runs twice at a time");
+  }
+}
+
+void
+sized_world::NoteEnd(const task_key& aTask, end_kind aHow)
+{
+  if (aHow == end_kind::Done) {
+    mDone[aTask.mJob].insert(aTask);
+  }
+}
+
+const caller_record&
+sized_world::LastOf(uint64_t aJob) const
+{
+  auto found =
+    std::find_if(mCallers.rbegin(),
+                 mCallers.rend(),
+                 [&](const caller_record& aOne) { return aOne.mJob == aJob; });
+  return *found;
+}
+
+size_t
+sized_world::CountEnding(job_ending aEnding) const
+{
+  return size_t(std::count_if(
+    mCallers.begin(), mCallers.end(), [&](const caller_record& aOne) {
+      return aOne.mAnswered && aOne.mEnding == aEnding;
+    }));
+}
+
+size_t
+sized_world::CountInTime(duration aWithin) const
+{
+  return size_t(std::count_if(
+    mCallers.begin(), mCallers.end(), [&](const caller_record& aOne) {
+      return aOne.mAnswered && aOne.mEnding == job_ending::Completed &&
+             aOne.mAnsweredAt - aOne.mSentAt <= aWithin;
+    }));
+}
+
+} // namespace cactusmast::testing
--- /dev/null
+++ b/cactusmast/testing/sized_world.h
@@ -0,0 +1,194 @@
+// Coordinators, executors and backend servers on a virtual clock, with a
+// network and callers in between, for tests of jobs of sized tasks.
+//
+// The world checks while it runs what callers and backend servers see: no task
+// runs twice at a time, no backend server is over its capacity, nothing starts
+// at a draining one, answers come once and say the truth. Violations are
+// collected, not thrown, so that a test can show them all.
+
+#ifndef CACTUSMAST_TESTING_SIZED_WORLD_H_
+#define CACTUSMAST_TESTING_SIZED_WORLD_H_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cactusmast/job_coordinator.h"
+#include "cactusmast/task_executor.h"
+
+namespace cactusmast::testing {
+
+class sized_world;
+
+// Discards events.
+class silent_events : public event_sink
+{
+public:
+  void Emit(event_code, std::vector<event_field>) override {}
+};
+
+// A backend server: runs tasks for their work time over its speed, under one
+// lease, and remembers what was stopped or ended.
+class fake_server : public backend_runner
+{
+public:
+  fake_server(sized_world& aWorld, size_t aIndex);
+
+  void Start(const start_order& aOrder) override;
+  void Stop(const stop_order& aOrder) override;
+  void Look(const look_order& aOrder) override;
+  void Expect(const std::string&) override {}
+
+  // Everything that runs is gone; a new life with an empty memory begins.
+  void Crash();
+  void Advance();
+  server_announcement Announce();
+  bool IsRunning(const task_key& aTask) const;
+  size_t Running() const { return mRunning.size(); }
+
+  task_size mCapacity{ 32000, 131072, 0 };
+  double mSpeed = 1;
+  bool mDown = false;
+  bool mDraining = false;
+  bool mFailsAll = false;
+  bool mHangs = false;         // nothing that runs makes progress
+  double mUnansweredShare = 0; // of orders; carried out 2 to 4 s later
+  uint32_t mStarts = 0;
+
+private:
+  struct run
+  {
+    uint32_t mRun = 0;
+    instant mSince{};
+    double mDoneMs = 0;
+    double mWorkMs = 0;
+    instant mAdvancedAt{};
+    int64_t mCpu = 0;
+  };
+
+  int64_t ClockMs() const;
+  start_result CarryOut(const start_order& aOrder);
+  void CarryOut(const stop_order& aOrder);
+  server_snapshot CarryOut(const look_order& aOrder);
+  void End(const task_key& aTask, end_kind aHow);
+  bool Unanswered();
+  void After(duration aDelay, std::function<void()> aDo);
+
+  sized_world& mWorld;
+  size_t mIndex;
+  int64_t mBornMs = 1;
+  uint64_t mSequence = 0;
+  int64_t mLeaseUntilMs = 0;
+  uint64_t mFence = 0;
+  uint64_t mEnds = 0;
+  std::map<task_key, run> mRunning;
+  std::map<task_key, uint32_t> mLastRun;
+  std::deque<ended_task> mEnded;
+  std::vector<std::pair<uint64_t, std::function<void()>>> mWaitingLooks;
+};
+
+// What a caller got for one submission.
+struct caller_record
+{
+  uint64_t mJob = 0;
+  size_t mEntry = 0;
+  instant mSentAt{};
+  bool mAnswered = false;
+  bool mLost = false; // the connection broke
+  job_ending mEnding = job_ending::Failed;
+  instant mAnsweredAt{};
+};
+
+class sized_world
+{
+public:
+  sized_world(size_t aEntries, size_t aServers, uint32_t aSeed);
+  ~sized_world();
+
+  void Run(duration aSpan);
+  instant Now() const { return mNow; }
+  void At(duration aFromNow, std::function<void()> aDo);
+
+  // Submits a job of aTasks tasks that take aWorkMs each; sends it again
+  // elsewhere 1300 ms after its connection broke.
+  uint64_t Submit(size_t aEntry,
+                  uint32_t aTasks,
+                  uint32_t aWorkMs,
+                  uint32_t aDeadlineMs = 1500);
+  void SubmitAgain(uint64_t aJob, size_t aEntry);
+  void HangUp(uint64_t aJob);
+
+  void KillEntry(size_t aEntry, duration aDown);
+  void KillExecutor(size_t aServer, duration aDown);
+  void PauseEntry(size_t aEntry, duration aSpan);
+  void PauseExecutor(size_t aServer, duration aSpan);
+  // Bytes between the two are lost and new connections fail.
+  void Cut(size_t aEntry, size_t aServer, duration aSpan);
+  void DrainExecutor(size_t aServer);
+  void DrainServer(size_t aServer);
+
+  fake_server& Server(size_t aIndex) { return *mServers[aIndex]; }
+  job_coordinator& Coordinator(size_t aIndex);
+  task_executor& Executor(size_t aIndex);
+  bool ExecutorUp(size_t aIndex) const;
+  const caller_record& LastOf(uint64_t aJob) const;
+  size_t CountEnding(job_ending aEnding) const;
+  size_t CountInTime(duration aWithin) const;
+  const std::vector<caller_record>& Callers() const { return mCallers; }
+  const std::vector<std::string>& Violations() const { return mViolations; }
+
+private:
+  friend class fake_server;
+  struct entry;
+  struct executor;
+  struct link
+  {
+    size_t mEntry = 0;
+    size_t mServer = 0;
+    bool mUp = true;
+    uint64_t mEntryLife = 0;
+    uint64_t mExecutorLife = 0;
+  };
+
+  double Uniform() { return std::uniform_real_distribution<>(0, 1)(mRandom); }
+  void Violate(const std::string& aText);
+  void NoteStart(const task_key& aTask, size_t aServer);
+  void NoteEnd(const task_key& aTask, end_kind aHow);
+  void ConnectAll();
+  void TickAll();
+  void Send(peer_id aLink, bool aToExecutor, std::function<void()> aDeliver);
+  void Deliver(bool aToExecutor, size_t aIndex, std::function<void()> aDo);
+  void CloseLink(peer_id aLink, bool aTellEntry, bool aTellExecutor);
+  void Hand(const job_request& aRequest, size_t aEntry);
+  void OnAnswer(caller_id aCaller, const job_outcome& aOutcome);
+  bool IsCut(size_t aEntry, size_t aServer) const;
+
+  instant mNow{ std::chrono::seconds(100) };
+  std::mt19937 mRandom;
+  silent_events mEvents;
+  std::multimap<instant, std::function<void()>> mQueue;
+  std::vector<std::unique_ptr<entry>> mEntries;
+  std::vector<std::unique_ptr<executor>> mExecutors;
+  std::vector<std::unique_ptr<fake_server>> mServers;
+  std::map<peer_id, link> mLinks;
+  std::map<std::pair<size_t, size_t>, instant> mCuts;
+  peer_id mNextLink = 1;
+  uint64_t mNextLife = 1;
+  std::shared_ptr<const route_table> mTable;
+  std::vector<caller_record> mCallers; // a caller's number is its index
+  std::map<uint64_t, job_submission> mJobs;
+  std::map<uint64_t, uint32_t> mDeadlines;
+  std::map<task_key, std::set<size_t>> mRunningAt;
+  std::set<uint64_t> mStartedJobs;
+  std::map<uint64_t, std::set<task_key>> mDone;
+  std::vector<std::string> mViolations;
+};
+
+} // namespace cactusmast::testing
+
+#endif // CACTUSMAST_TESTING_SIZED_WORLD_H_
--- a/shell/coordinator_daemon.cc
+++ b/shell/coordinator_daemon.cc
@@ -111,17 +111,17 @@
   http_answer answer;
   answer.mStatus = aStatus;
   answer.mBody = aBody;
-  answer.mClose = mDrainingSince.count() != 0 &&
-                  Now() - mDrainingSince > kCloseAfter;
+  answer.mClose =
+    mDrainingSince.count() != 0 && Now() - mDrainingSince > kCloseAfter;
   mFront->Answer(aExchange, answer);
 }
 
 void
 coordinator_daemon::Refuse(uint64_t aExchange, const failure& aWhy)
 {
-  mLog.Emit(event_code::JobRefused,
-            { { "reason", aWhy.what() },
-              { "code", std::string(Name(aWhy.Code())) } });
+  mLog.Emit(
+    event_code::JobRefused,
+    { { "reason", aWhy.what() }, { "code", std::string(Name(aWhy.Code())) } });
   http_answer answer = ErrorAnswer(aWhy);
   answer.mClose = mDrainingSince.count() != 0;
   mFront->Answer(aExchange, answer);
@@ -144,12 +144,12 @@
   const std::string& path = aExchange.Path();
   const route* way = table->Find(aExchange.Header("Host"), path);
   if (way == nullptr) {
-    Refuse(aExchange.Id(),
-           failure(error_code::NotFound,
-                   "route",
-                   "caller",
-                   "no such queue in version " +
-                     std::to_string(mConfig.Version())));
+    Refuse(
+      aExchange.Id(),
+      failure(error_code::NotFound,
+              "route",
+              "caller",
+              "no such queue in version " + std::to_string(mConfig.Version())));
     return;
   }
   std::string name = path.substr(way->mPrefix.size());
@@ -234,13 +234,13 @@
   switch (aOutcome.mEnding) {
     case job_ending::Refused:
       Refuse(aCaller,
-             failure(error_code::Overloaded,
-                     "place",
-                     mInstance.mName,
-                     aOutcome.mReason,
-                     run_state::NotRun,
-                     std::chrono::duration_cast<milliseconds>(
-                       aOutcome.mRetryAfter)));
+             failure(
+               error_code::Overloaded,
+               "place",
+               mInstance.mName,
+               aOutcome.mReason,
+               run_state::NotRun,
+               std::chrono::duration_cast<milliseconds>(aOutcome.mRetryAfter)));
       return;
     case job_ending::Expired:
       Reply(aCaller, kGatewayTimeout, "{}");
@@ -350,12 +350,12 @@
   }
   if (taken.Value()) {
     mConfigAt = Now();
-    mLog.Emit(event_code::ConfigInForce,
-              { { "version", std::to_string(mConfig.Version()) },
-                { "before", std::to_string(before) },
-                { "routes",
-                  std::to_string(mConfig.Table()->Config().mRoutes.size()) },
-                { "source", aSource } });
+    mLog.Emit(
+      event_code::ConfigInForce,
+      { { "version", std::to_string(mConfig.Version()) },
+        { "before", std::to_string(before) },
+        { "routes", std::to_string(mConfig.Table()->Config().mRoutes.size()) },
+        { "source", aSource } });
   }
 }
 
@@ -388,16 +388,15 @@
   }
   mAnnouncing = true;
   watched_row row{ mInstance.PeerAddress(), mInstance.mName, draining };
-  mAdapter.mStore.PutRow(
-    mAdapter.mLayout.mEntryTable,
-    row,
-    [this, draining](const watch_answer& aAnswer) {
-      mAnnouncing = false;
-      mNextAnnounce = Now() + kAnnounceRetry;
-      if (aAnswer.mStatus == watch_status::Ok) {
-        mAnnounced = !draining;
-      }
-    });
+  mAdapter.mStore.PutRow(mAdapter.mLayout.mEntryTable,
+                         row,
+                         [this, draining](const watch_answer& aAnswer) {
+                           mAnnouncing = false;
+                           mNextAnnounce = Now() + kAnnounceRetry;
+                           if (aAnswer.mStatus == watch_status::Ok) {
+                             mAnnounced = !draining;
+                           }
+                         });
 }
 
 void
@@ -515,7 +514,8 @@
     "cactusmast_jobs_accepted", "Jobs accepted.", double(counts.mAccepted));
   aPage->Counter(
     "cactusmast_jobs_completed", "Jobs completed.", double(counts.mCompleted));
-  aPage->Counter("cactusmast_jobs_failed", "Jobs failed.", double(counts.mFailed));
+  aPage->Counter(
+    "cactusmast_jobs_failed", "Jobs failed.", double(counts.mFailed));
   aPage->Counter(
     "cactusmast_jobs_refused", "Jobs refused unrun.", double(counts.mRefused));
   aPage->Counter("cactusmast_jobs_expired",
--- a/shell/executor_daemon.cc
+++ b/shell/executor_daemon.cc
@@ -62,9 +62,9 @@
   result<decoded_announcement> decoded = mAdapter.mAnnouncements.Decode(
     aExchange.Method(), aExchange.Path(), aExchange.Body());
   if (!decoded.Ok()) {
-    mLog.Emit(event_code::PeerProtocolError,
-              { { "peer", "backend server" },
-                { "text", decoded.Error().what() } });
+    mLog.Emit(
+      event_code::PeerProtocolError,
+      { { "peer", "backend server" }, { "text", decoded.Error().what() } });
     mControl->Answer(aExchange.Id(), ErrorAnswer(decoded.Error()));
     return;
   }
@@ -119,8 +119,7 @@
       break;
     case message_kind::entry_pulse:
       mExecutor.OnPulse(aPeer, now);
-      LearnEntries(
-        aMessage.Asentry_pulse()->entries, mEntryPeers[aPeer], now);
+      LearnEntries(aMessage.Asentry_pulse()->entries, mEntryPeers[aPeer], now);
       return;
     default:
       return;
@@ -154,15 +153,15 @@
   }
   mAsking = true;
   mNextAsk = aNow + kAskStoreInterval;
-  mAdapter.mStore.ReadTable(
-    mAdapter.mEntryTable, [this](const watch_answer& aAnswer) {
-      mAsking = false;
-      std::vector<std::string> addresses;
-      for (const watched_row& row : aAnswer.mRows) {
-        addresses.push_back(row.mKey);
-      }
-      LearnEntries(addresses, "store", Now());
-    });
+  mAdapter.mStore.ReadTable(mAdapter.mEntryTable,
+                            [this](const watch_answer& aAnswer) {
+                              mAsking = false;
+                              std::vector<std::string> addresses;
+                              for (const watched_row& row : aAnswer.mRows) {
+                                addresses.push_back(row.mKey);
+                              }
+                              LearnEntries(addresses, "store", Now());
+                            });
 }
 
 void
@@ -222,9 +221,8 @@
   aPage->Gauge("cactusmast_free_cpu_millis",
                "Unused thousandths of a core.",
                double(mExecutor.Free().mCpuMillis));
-  aPage->Gauge("cactusmast_slowness",
-               "Run time over estimate.",
-               mExecutor.Slowness());
+  aPage->Gauge(
+    "cactusmast_slowness", "Run time over estimate.", mExecutor.Slowness());
   aPage->Gauge("cactusmast_server_state",
                "0 absent, 1 ready, 2 draining, 3 ill.",
                double(mExecutor.State(Now())));
--- a/shell/instance_daemon.cc
+++ b/shell/instance_daemon.cc
@@ -60,21 +60,20 @@
   transport.mSelf.mRegion = mInstance.mRegion;
   mTransport =
     std::move(peer_transport::Create(transport, *this, mLog).Value());
-  mMetricsServer = std::move(
-    http_server::Create(
-      mInstance.mMetrics,
-      kMaxMetricsRequest,
-      [this](http_exchange& aOne) {
-        metrics_page page;
-        AddMetrics(&page);
-        AddProcessMetrics(&page);
-        http_answer answer;
-        answer.mType = "text/plain; version=0.0.4";
-        answer.mBody = page.Render();
-        mMetricsServer->Answer(aOne.Id(), answer);
-      },
-      [](uint64_t) {})
-      .Value());
+  mMetricsServer = std::move(http_server::Create(
+                               mInstance.mMetrics,
+                               kMaxMetricsRequest,
+                               [this](http_exchange& aOne) {
+                                 metrics_page page;
+                                 AddMetrics(&page);
+                                 AddProcessMetrics(&page);
+                                 http_answer answer;
+                                 answer.mType = "text/plain; version=0.0.4";
+                                 answer.mBody = page.Render();
+                                 mMetricsServer->Answer(aOne.Id(), answer);
+                               },
+                               [](uint64_t) {})
+                               .Value());
 }
 
 void
@@ -90,9 +89,9 @@
   for (const std::string& seed : read.Value().SeedAddresses()) {
     added += mDirectory.Learn(seed, true, Now()) ? 1 : 0;
   }
-  mLog.Emit(event_code::SettingsReloaded,
-            { { "file", mInstance.mFile },
-              { "new_seeds", std::to_string(added) } });
+  mLog.Emit(
+    event_code::SettingsReloaded,
+    { { "file", mInstance.mFile }, { "new_seeds", std::to_string(added) } });
 }
 
 void
@@ -107,8 +106,8 @@
   if (stat(mInstance.mFile.c_str(), &found) != 0) {
     return;
   }
-  int64_t changed =
-    int64_t(found.st_mtim.tv_sec) * G_USEC_PER_SEC + found.st_mtim.tv_nsec / 1000;
+  int64_t changed = int64_t(found.st_mtim.tv_sec) * G_USEC_PER_SEC +
+                    found.st_mtim.tv_nsec / 1000;
   bool first = mFileChangedAt == 0;
   bool same = changed == mFileChangedAt;
   mFileChangedAt = changed;
--- a/shell/log_sink.cc
+++ b/shell/log_sink.cc
@@ -1,8 +1,8 @@
 #include "shell/log_sink.h"
 
 #include <boost/log/core.hpp>
-#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/make_shared.hpp>
@@ -33,6 +33,8 @@
     fcntl(mFd, F_SETFL, fcntl(mFd, F_GETFL) | O_NONBLOCK);
   }
 
+  // The name is fixed by Boost.Log.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   void consume(const boost::log::record_view& /*aRecord*/,
                const std::string& aLine)
   {
--- a/shell/peer_transport.cc
+++ b/shell/peer_transport.cc
@@ -536,7 +536,8 @@
     link& checked = *entry->second;
     bool greeting = checked.mState == link_state::Connecting ||
                     checked.mState == link_state::Greeting;
-    if (greeting && now - checked.mSince > gint64(mOptions.mHandshakeLimitMs) * 1000) {
+    if (greeting &&
+        now - checked.mSince > gint64(mOptions.mHandshakeLimitMs) * 1000) {
       Shut(checked, false);
     }
     entry = checked.mState == link_state::Closed ? mLinks.erase(entry)
