--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 
 CORE_SOURCES := $(wildcard cactusmast/*.cc)
 SHELL_SOURCES := $(wildcard shell/*.cc)
-TEST_SOURCES := $(wildcard cactusmast/testing/*.cc)
+TEST_SOURCES := $(wildcard cactusmast/testing/*.cc platform/testing/*.cc)
 PLATFORM_SOURCES := $(filter-out %_main.cc,$(wildcard platform/*.cc))
 BENCH_SOURCES := $(wildcard bench/*_bench.cc)
 
@@ -84,7 +84,7 @@
   $(PLATFORM_OBJECTS) $(SHELL_LIB) $(CORE_LIB)
 	@$(CXX) $(LDFLAGS) $^ $(SHELL_LIBS) -o $@
 
-$(BUILD)/cactusmast-test: $(TEST_OBJECTS) $(SHELL_LIB) $(CORE_LIB)
+$(BUILD)/cactusmast-test: $(TEST_OBJECTS) $(PLATFORM_OBJECTS) $(SHELL_LIB) $(CORE_LIB)
 	@$(CXX) $(LDFLAGS) $^ $(SHELL_LIBS) -lrapidcheck -o $@
 
 # Every test; the last line counts them.
@@ -96,7 +96,7 @@
 OWN_SOURCES := $(wildcard cactusmast/*.cc \
   cactusmast/*.h cactusmast/testing/*.cc cactusmast/testing/*.h shell/*.cc \
   shell/*.h util/*.h cmd/*.cc platform/*.cc \
-  platform/*.h standins/*.cc bench/*.cc bench/*.h fuzz/*.cc)
+  platform/*.h platform/testing/*.cc standins/*.cc bench/*.cc bench/*.h fuzz/*.cc)
 
 format:
 	@clang-format -i $(OWN_SOURCES)
--- /dev/null
+++ b/cactusmast/testing/instance_parts_test.cc
@@ -0,0 +1,287 @@
+// The smaller parts of coordinators and executors: watching a table, knowing
+// entries, placing tasks, reading settings.
+
+#include <deque>
+#include <doctest/doctest.h>
+#include <fstream>
+#include <sstream>
+
+#include "cactusmast/entry_directory.h"
+#include "cactusmast/instance_settings.h"
+#include "cactusmast/placement.h"
+#include "cactusmast/table_watcher.h"
+
+namespace cactusmast::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class fake_store : public watched_store
+{
+public:
+  void ReadTable(const std::string&, callback aDone) override
+  {
+    mReads++;
+    mDone = std::move(aDone);
+  }
+  void WaitForChange(const std::string&,
+                     uint64_t aVersion,
+                     uint32_t,
+                     callback aDone) override
+  {
+    mWatchedFrom = aVersion;
+    mWatches++;
+    mDone = std::move(aDone);
+  }
+  void PutRow(const std::string&, const watched_row&, callback) override {}
+
+  void Answer(watch_status aStatus, uint64_t aVersion, const std::string& aKey)
+  {
+    watch_answer answer;
+    answer.mStatus = aStatus;
+    answer.mVersion = aVersion;
+    if (!aKey.empty()) {
+      answer.mRows.push_back({ aKey, "value", false });
+    }
+    callback done = std::move(mDone);
+    done(answer);
+  }
+
+  int mReads = 0;
+  int mWatches = 0;
+  uint64_t mWatchedFrom = 0;
+  callback mDone;
+};
+
+class event_list : public event_sink
+{
+public:
+  void Emit(event_code aCode, std::vector<event_field>) override
+  {
+    mCodes.push_back(aCode);
+  }
+  std::vector<event_code> mCodes;
+};
+
+class fixed_random : public random_source
+{
+public:
+  double NextUniform() override { return 0.5; }
+};
+
+server_view
+ViewOf(peer_id aPeer, double aSlowness, int64_t aFreeMillis)
+{
+  server_view view;
+  view.mPeer = aPeer;
+  view.mService = "s";
+  view.mDataCenter = "a";
+  view.mState = server_state::Ready;
+  view.mCapacity = { 32000, 100000, 0 };
+  view.mFree = { aFreeMillis, 100000, 0 };
+  view.mSlowness = aSlowness;
+  view.mMeanRunMs = 300;
+  view.mRoomInMs = 100;
+  return view;
+}
+
+placement_request
+RequestOf(const job_step& aStep, double aDeadlineMs)
+{
+  placement_request request;
+  request.mStep = &aStep;
+  request.mEstimateMs = aStep.mEstimateMs;
+  request.mEstimateSigma = kDeclaredSigma;
+  request.mService = "s";
+  request.mDataCenter = "a";
+  request.mDeadlineMs = aDeadlineMs;
+  request.mObjectiveBaseMs = 60;
+  request.mObjectiveStretch = 1.6;
+  return request;
+}
+
+job_step
+StepOf(uint32_t aEstimateMs)
+{
+  job_step step;
+  step.mCount = 1;
+  step.mSize = { 3000, 64, 0 };
+  step.mEstimateMs = aEstimateMs;
+  return step;
+}
+
+} // namespace
+
+TEST_CASE("a watch that loses its history reads the table anew")
+{
+  // The store drops its history while nobody hears of changes. A watcher that
+  // went on from its old version would never learn what it missed, and users
+  // would be served by a configuration that is no longer in force.
+  fake_store store;
+  event_list events;
+  std::vector<std::string> keys;
+  table_watcher watcher(
+    "t",
+    1000,
+    store,
+    [&](const watched_row& aRow) { keys.push_back(aRow.mKey); },
+    events);
+  watcher.Tick(seconds(1));
+  CHECK(store.mReads == 1);
+  store.Answer(watch_status::Ok, 10, "a");
+  watcher.Tick(seconds(1));
+  CHECK(store.mWatchedFrom == 10);
+  store.Answer(watch_status::Ok, 12, "b");
+  watcher.Tick(seconds(1));
+  CHECK(store.mWatchedFrom == 12);
+  store.Answer(watch_status::HistoryGone, 0, "");
+  watcher.Tick(seconds(1) + milliseconds(60));
+  CHECK(store.mReads == 2);
+  store.Answer(watch_status::Ok, 20, "c");
+  CHECK(keys == std::vector<std::string>{ "a", "b", "c" });
+}
+
+TEST_CASE("a store that is away is asked again, slower, and its return is told")
+{
+  fake_store store;
+  event_list events;
+  table_watcher watcher(
+    "t", 1000, store, [](const watched_row&) {}, events);
+  instant now = seconds(1);
+  for (int i = 0; i < 100; i++) {
+    watcher.Tick(now);
+    if (store.mDone) {
+      store.Answer(watch_status::Unavailable, 0, "");
+    }
+    now += milliseconds(100);
+  }
+  CHECK(store.mReads >= 20);
+  CHECK(store.mReads <= 30);
+  CHECK(!watcher.Available());
+  watcher.Tick(now + seconds(1));
+  store.Answer(watch_status::Ok, 5, "");
+  CHECK(watcher.Available());
+  CHECK(events.mCodes == std::vector<event_code>{ event_code::TableUnavailable,
+                                                  event_code::TableAvailable });
+}
+
+TEST_CASE("entries that are gone for good are forgotten, seeds are not")
+{
+  // Entries are replaced under new addresses all day. Dialling all of their
+  // predecessors for ever would cost more each day.
+  entry_directory directory("own:1");
+  instant now = seconds(1);
+  CHECK(!directory.Learn("own:1", false, now));
+  CHECK(directory.Learn("seed:1", true, now));
+  CHECK(directory.Learn("old:1", false, now));
+  CHECK(directory.Due(now).size() == 2);
+  CHECK(directory.Due(now).empty());
+  directory.OnUp("old:1", now);
+  CHECK(directory.Connected() == 1);
+  now += seconds(100);
+  CHECK(directory.Due(now) == std::vector<std::string>{ "seed:1" });
+  directory.OnDown("old:1", now);
+  CHECK(directory.Due(now) == std::vector<std::string>{ "old:1" });
+  now += seconds(61);
+  CHECK(directory.Due(now) == std::vector<std::string>{ "seed:1" });
+}
+
+TEST_CASE("a long task goes to the fast server, also if it must wait for it")
+{
+  // A task of 900 ms cannot end within 1500 ms on a server that takes 1.67
+  // times as long if it is any longer than declared. Its user is better off
+  // when it waits 100 ms for a fast one.
+  fixed_random random;
+  job_step step = StepOf(900);
+  std::vector<server_view> views = { ViewOf(1, 1.67, 32000),
+                                     ViewOf(2, 0.6, 32000) };
+  placement_decision now = ChooseServer(views, RequestOf(step, 1500), random);
+  CHECK(now.mVerdict == placement_verdict::Place);
+  CHECK(now.mChoice.mView == 1);
+  views[1].mFree.mCpuMillis = 0;
+  CHECK(ChooseServer(views, RequestOf(step, 1500), random).mVerdict ==
+        placement_verdict::Wait);
+}
+
+TEST_CASE("short tasks leave the last room of fast servers to long ones")
+{
+  fixed_random random;
+  job_step step = StepOf(60);
+  std::vector<server_view> views = { ViewOf(1, 1.0, 32000),
+                                     ViewOf(2, 0.6, 4000),
+                                     ViewOf(3, 1.0, 0) };
+  placement_decision now = ChooseServer(views, RequestOf(step, 400), random);
+  CHECK(now.mVerdict == placement_verdict::Place);
+  CHECK(now.mChoice.mView == 0);
+  views[1].mFree.mCpuMillis = 30000;
+  CHECK(ChooseServer(views, RequestOf(step, 400), random).mChoice.mView == 1);
+}
+
+TEST_CASE("what no server can end in time is called hopeless at once")
+{
+  fixed_random random;
+  job_step step = StepOf(900);
+  std::vector<server_view> views = { ViewOf(1, 1.0, 32000) };
+  CHECK(ChooseServer(views, RequestOf(step, 300), random).mVerdict ==
+        placement_verdict::Hopeless);
+  CHECK(ChooseServer({}, RequestOf(step, 1500), random).mVerdict ==
+        placement_verdict::Nowhere);
+}
+
+TEST_CASE("a job is impossible only when every server has said so")
+{
+  // An entry that has just started has heard of no server's size. If it took
+  // that for too small, users' jobs would fail that any server can run.
+  job_step step = StepOf(60);
+  step.mSize.mCpuMillis = 64000;
+  std::vector<server_view> views = { ViewOf(1, 1, 0), ViewOf(2, 1, 0) };
+  CHECK(CanNeverRun(views, "s", step));
+  views[1].mService.clear();
+  CHECK(!CanNeverRun(views, "s", step));
+  CHECK(!CanNeverRun({}, "s", step));
+}
+
+TEST_CASE("the templates of the deployment hold all keys of the settings")
+{
+  // A key that the template lacks or misspells keeps a process from starting
+  // on every machine at once.
+  auto filled = [](const std::string& aPath) {
+    std::ifstream file(aPath);
+    std::ostringstream text;
+    text << file.rdbuf();
+    std::string out = text.str();
+    auto put = [&out](const std::string& aFrom, const std::string& aTo) {
+      for (size_t at = out.find(aFrom); at != std::string::npos;
+           at = out.find(aFrom)) {
+        out.replace(at, aFrom.size(), aTo);
+      }
+    };
+    put("{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}", "\"10.1.0.13:8166\"");
+    put("{{portRange.0}}", "7720");
+    put("{{bounds.graceS}}", "6");
+    for (const char* address : { "platform.address",
+                                 "listen.front",
+                                 "listen.readiness",
+                                 "listen.control",
+                                 "app" }) {
+      put("{{" + std::string(address) + "}}", "10.1.0.1:80");
+    }
+    for (const char* name : { "nodeName", "zone", "region", "ip", "service" }) {
+      put("{{" + std::string(name) + "}}", "10.1.0.1");
+    }
+    return out;
+  };
+  auto coordinator = ReadCoordinatorSettings(filled("deploy/coordinator.yaml"),
+                                             "coordinator.yaml");
+  REQUIRE(coordinator.Ok());
+  CHECK(coordinator.Value().mInstance.SeedAddresses() ==
+        std::vector<std::string>{ "10.1.0.13:7720" });
+  CHECK(coordinator.Value().mInstance.mStopWithinMs == 6000);
+  auto executor =
+    ReadExecutorSettings(filled("deploy/executor.yaml"), "executor.yaml");
+  REQUIRE(executor.Ok());
+  CHECK(!ReadExecutorSettings("role: executor\nname: x\n", "f").Ok());
+}
+
+} // namespace cactusmast::testing
--- a/cactusmast/testing/profile_test.cc
+++ b/cactusmast/testing/profile_test.cc
@@ -1,4 +1,4 @@
-// Each field of a profile does what docs/OPERATING.md says of it. Deadlines,
+// Each field of a profile does what docs/OPERATIONS.md says of it. Deadlines,
 // idempotence, queue bounds, priority, shedding and accelerators are shown by
 // the scenarios, queue_test.cc and scripts/tests/api_examples.sh.
 
--- a/cmd/guard_main.cc
+++ b/cmd/guard_main.cc
@@ -14,7 +14,7 @@
   cactusmast-guard (-h | --help)
 
 Options:
-  --settings=FILE  YAML settings; docs/OPERATING.md lists the keys.
+  --settings=FILE  YAML settings; docs/OPERATIONS.md lists the keys.
   --check          Check the settings and exit.
   -h --help        This text.
 
