Never call a start unrun whose earlier order got no answer

Such attempts are now settled by an answered stop, a new life or the end of the lease, and count as started; a repeat that is refused as old waits for the run's end instead of starting it anew.

--- a/cactusmast/task_executor.cc
+++ b/cactusmast/task_executor.cc
@@ -396,12 +396,27 @@
 task_executor::RetryStart(task& aTask, instant aNow)
 {
   if (aTask.mStopping || ++aTask.mRetries > kMaxStartRetries) {
-    End(aTask.mKey, attempt_outcome::Unusable, aNow);
+    GiveUpStart(aTask, attempt_outcome::Unusable, aNow);
     return;
   }
   OrderStart(aTask, aNow);
 }
 
+// What the last order got says nothing of an earlier one that got no answer:
+// that one may have been carried out, or be carried out seconds later. Then
+// only a stop that is answered, a new life or the end of all leases settles
+// the attempt, and it counts as started.
+void
+task_executor::GiveUpStart(task& aTask, attempt_outcome aWhy, instant aNow)
+{
+  if (aTask.mRepeats == 0) {
+    End(aTask.mKey, aWhy, aNow);
+    return;
+  }
+  aTask.mState = task_state::Unsettled;
+  OrderStop(aTask, attempt_outcome::Lost, aNow);
+}
+
 void
 task_executor::OnStartAnswer(const task_key& aTask,
                              uint32_t aRun,
@@ -437,6 +452,13 @@
       RetryStart(one, aNow);
       return;
     case start_result::OldRun:
+      if (one.mRepeats > 0) {
+        // The unanswered order was carried out and has ended; the next look
+        // says how.
+        one.mState = task_state::Running;
+        one.mSettledAt = aNow;
+        return;
+      }
       one.mRun = one.mRun * 2 + 1;
       RetryStart(one, aNow);
       return;
@@ -445,7 +467,7 @@
       RetryStart(one, aNow);
       return;
     case start_result::NoRoom:
-      End(aTask, attempt_outcome::NoRoom, aNow);
+      GiveUpStart(one, attempt_outcome::NoRoom, aNow);
       return;
     case start_result::Unhealthy:
     case start_result::OtherBoot:
@@ -454,10 +476,10 @@
       if (mFailuresInRow >= kFailuresToIll) {
         mIllUntil = aNow + kIllTime;
       }
-      End(aTask, attempt_outcome::Unusable, aNow);
+      GiveUpStart(one, attempt_outcome::Unusable, aNow);
       return;
     case start_result::Malformed:
-      End(aTask, attempt_outcome::Failed, aNow);
+      GiveUpStart(one, attempt_outcome::Failed, aNow);
       return;
     case start_result::NoAnswer:
     case start_result::Count:
@@ -472,10 +494,8 @@
     SendStart(one, aNow);
     return;
   }
-  // It may be carried out seconds later, after the task was started anew
-  // elsewhere. An answered stop of the same run prevents that.
-  one.mState = task_state::Unsettled;
-  OrderStop(one, attempt_outcome::Lost, aNow);
+  one.mRepeats++;
+  GiveUpStart(one, attempt_outcome::Lost, aNow);
 }
 
 void
--- a/cactusmast/task_executor.h
+++ b/cactusmast/task_executor.h
@@ -150,7 +150,7 @@
     instant mNextStop{};
     attempt_outcome mStopOutcome = attempt_outcome::Stopped;
     uint32_t mRetries = 0; // for reasons given
-    uint32_t mRepeats = 0; // for want of an answer
+    uint32_t mRepeats = 0; // orders that got no answer
   };
 
   struct entry_link
@@ -184,6 +184,7 @@
   void SendStop(const task_key& aTask, uint32_t aRun);
   void SendLook(instant aNow);
   void RetryStart(task& aTask, instant aNow);
+  void GiveUpStart(task& aTask, attempt_outcome aWhy, instant aNow);
   void Requeue(task& aTask);
   // Reports the attempt and forgets it.
   void End(const task_key& aKey, attempt_outcome aOutcome, instant aNow);
--- /dev/null
+++ b/cactusmast/testing/task_executor_test.cc
@@ -0,0 +1,169 @@
+// Single answers of a backend server that an executor must not misread.
+
+#include <doctest/doctest.h>
+
+#include "cactusmast/task_executor.h"
+#include "cactusmast/testing/sized_world.h"
+
+namespace cactusmast::testing {
+namespace {
+
+using std::chrono::seconds;
+
+// Keeps the orders; the test answers them.
+class scripted_runner : public backend_runner
+{
+public:
+  void Start(const start_order& aOrder) override { mStarts.push_back(aOrder); }
+  void Stop(const stop_order& aOrder) override { mStops.push_back(aOrder); }
+  void Look(const look_order& aOrder) override { mLooks.push_back(aOrder); }
+  void Expect(const std::string&) override {}
+
+  std::vector<start_order> mStarts;
+  std::vector<stop_order> mStops;
+  std::vector<look_order> mLooks;
+};
+
+class recorded_links : public executor_links
+{
+public:
+  void Report(peer_id, const wire::server_report_msg& aSaid) override
+  {
+    for (const wire::task_end& end : aSaid.ends) {
+      mOutcomes.push_back(attempt_outcome(end.outcome()));
+    }
+  }
+  void Drop(peer_id) override {}
+
+  std::vector<attempt_outcome> mOutcomes;
+};
+
+// An executor whose backend server is known, with one task ordered from it.
+struct started_task
+{
+  started_task()
+    : mExecutor(1, "s", mLinks, mRunner, mEvents)
+  {
+    mExecutor.OnEntryUp(1, "entry", mNow);
+    server_announcement said;
+    said.mId = "i-1";
+    said.mService = "s";
+    said.mBornMs = 5;
+    said.mSequence = 1;
+    said.mCapacity = { 32000, 1000, 0 };
+    mExecutor.OnAnnouncement(said, mNow);
+    mExecutor.Tick(mNow);
+    Look({}, {});
+    wire::start_tasks_msg order;
+    order.offer = 1;
+    order.job = 7;
+    order.cpu_millis = 3000;
+    order.estimate_ms = 60;
+    order.start_within_ms = 40;
+    order.stop_after_ms = 1500;
+    order.tasks.emplace_back(0, 1);
+    mExecutor.OnStartTasks(1, order, mNow);
+    REQUIRE(mRunner.mStarts.size() == 1);
+  }
+
+  void Answer(start_result aResult)
+  {
+    const start_order order = mRunner.mStarts.back();
+    mExecutor.OnStartAnswer(order.mTask, order.mRun, aResult, 0, mNow);
+    Pass(milliseconds(1));
+  }
+
+  void Look(std::vector<running_task> aRunning, std::vector<ended_task> aEnded)
+  {
+    REQUIRE(!mRunner.mLooks.empty());
+    server_snapshot seen;
+    seen.mClockMs = 1000;
+    seen.mBornMs = 5;
+    seen.mRunning = std::move(aRunning);
+    seen.mEnded = std::move(aEnded);
+    mExecutor.OnLookAnswer(
+      mRunner.mLooks.back().mNumber, look_result::Seen, seen, mNow);
+  }
+
+  void Pass(duration aSpan)
+  {
+    mNow += aSpan;
+    mExecutor.OnPulse(1, mNow);
+    mExecutor.Tick(mNow);
+  }
+
+  instant mNow = seconds(50);
+  silent_events mEvents;
+  recorded_links mLinks;
+  scripted_runner mRunner;
+  task_executor mExecutor;
+};
+
+const start_result kNotStarted[] = { start_result::Unreachable,
+                                     start_result::Unhealthy,
+                                     start_result::OtherBoot,
+                                     start_result::NoRoom,
+                                     start_result::Malformed };
+
+} // namespace
+
+TEST_CASE("a refused start never started, if it was the only order")
+{
+  for (start_result result : kNotStarted) {
+    CAPTURE(int(result));
+    if (result == start_result::Malformed) {
+      continue;
+    }
+    started_task world;
+    world.Answer(result);
+    REQUIRE(world.mLinks.mOutcomes.size() == 1);
+    CHECK(NeverStarted(world.mLinks.mOutcomes[0]));
+  }
+}
+
+TEST_CASE("a start that got no answer may have run, whatever its repeat gets")
+{
+  // A backend server starts a task and dies before it answers. The order is
+  // repeated, and now the connection is refused. If that counted as never
+  // started, the user would hear that the order was not run although it was,
+  // and would give it again.
+  for (start_result result : kNotStarted) {
+    CAPTURE(int(result));
+    started_task world;
+    world.Answer(start_result::NoAnswer);
+    REQUIRE(world.mRunner.mStarts.size() == 2);
+    CHECK(world.mRunner.mStarts[1].mRun == world.mRunner.mStarts[0].mRun);
+    world.Answer(result);
+    CHECK(world.mLinks.mOutcomes.empty());
+    CHECK(world.mRunner.mStops.size() == 1);
+    // Nothing answers any more: every lease that was asked for ends.
+    for (int i = 0; i < 100; i++) {
+      world.Pass(milliseconds(10));
+    }
+    REQUIRE(world.mLinks.mOutcomes.size() == 1);
+    CHECK(world.mLinks.mOutcomes[0] == attempt_outcome::Lost);
+  }
+}
+
+TEST_CASE("a repeat that comes too late for its own run takes that run's end")
+{
+  // The first order was carried out, only its answer was lost, and the task
+  // has ended when the repeat arrives. Starting it anew under another number
+  // would run a user's order twice.
+  started_task world;
+  world.Answer(start_result::NoAnswer);
+  world.Answer(start_result::OldRun);
+  CHECK(world.mRunner.mStarts.size() == 2);
+  world.Pass(milliseconds(20)); // a look is under way by then
+  ended_task end;
+  end.mNumber = 1;
+  end.mTask = world.mRunner.mStarts[0].mTask;
+  end.mRun = world.mRunner.mStarts[0].mRun;
+  end.mHow = end_kind::Done;
+  world.Look({}, { end });
+  world.Pass(milliseconds(1));
+  REQUIRE(world.mLinks.mOutcomes.size() == 1);
+  CHECK(world.mLinks.mOutcomes[0] == attempt_outcome::Done);
+}
+
+} // namespace cactusmast::testing
--- a/shell/http_client.cc
+++ b/shell/http_client.cc
@@ -16,16 +16,24 @@
   gobject_ptr<SoupMessage> mMessage;
   gobject_ptr<GCancellable> mCancellable;
   guint mTimer = 0;
+  bool mStarted = false; // some of it was sent, at least once
 };
 
 http_response
-ReadResponse(SoupMessage* aMessage, GBytes* aBody, const GError* aError)
+ReadResponse(SoupMessage* aMessage,
+             GBytes* aBody,
+             const GError* aError,
+             bool aStarted)
 {
   http_response response;
   if (aError != nullptr) {
+    // An idempotent request whose connection broke is sent again. If that finds
+    // nobody listening, the first sending may have been carried out all the
+    // same.
     bool refused =
-      g_error_matches(aError, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED) ||
-      g_error_matches(aError, G_IO_ERROR, G_IO_ERROR_HOST_UNREACHABLE);
+      !aStarted &&
+      (g_error_matches(aError, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED) ||
+       g_error_matches(aError, G_IO_ERROR, G_IO_ERROR_HOST_UNREACHABLE));
     bool cancelled = g_error_matches(aError, G_IO_ERROR, G_IO_ERROR_CANCELLED);
     response.mFault = refused     ? http_fault::Refused
                       : cancelled ? http_fault::Cancelled
@@ -43,6 +51,12 @@
   return response;
 }
 
+void
+NoteStarted(pending_request* aPending)
+{
+  aPending->mStarted = true;
+}
+
 gboolean
 OnTimeout(gpointer aData)
 {
@@ -60,11 +74,13 @@
   if (pending->mTimer != 0) {
     g_source_remove(pending->mTimer);
   }
+  g_signal_handlers_disconnect_by_data(pending->mMessage.get(), pending.get());
   GError* error = nullptr;
   GBytes* body =
     soup_session_send_and_read_finish(SOUP_SESSION(aSession), aResult, &error);
   gerror_ptr held(error);
-  http_response response = ReadResponse(pending->mMessage.get(), body, error);
+  http_response response =
+    ReadResponse(pending->mMessage.get(), body, error, pending->mStarted);
   if (body != nullptr) {
     g_bytes_unref(body);
   }
@@ -136,6 +152,8 @@
     pending->mTimer = g_timeout_add(timeoutMs, &OnTimeout, pending.get());
   }
   SoupMessage* sent = pending->mMessage.get();
+  g_signal_connect_swapped(
+    sent, "starting", G_CALLBACK(&NoteStarted), pending.get());
   GCancellable* cancellable = pending->mCancellable.get();
   soup_session_send_and_read_async(mSession.get(),
                                    sent,
@@ -162,7 +180,7 @@
   GBytes* body =
     soup_session_send_and_read(session.get(), sent.get(), nullptr, &error);
   gerror_ptr held(error);
-  http_response response = ReadResponse(sent.get(), body, error);
+  http_response response = ReadResponse(sent.get(), body, error, false);
   if (body != nullptr) {
     g_bytes_unref(body);
   }
