--- a/cactusmast/backend_runner.h
+++ b/cactusmast/backend_runner.h
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "cactusmast/sized_task.h"
@@ -57,6 +58,9 @@
   Count
 };
 
+std::string_view
+Name(start_result aResult);
+
 enum class look_result : uint8_t
 {
   Seen,
--- a/cactusmast/job_coordinator.cc
+++ b/cactusmast/job_coordinator.cc
@@ -592,8 +592,11 @@
     }
     return;
   }
+  std::string server =
+    at == mExecutors.end() ? "" : mViews[at->second.mView].mName;
   mEvents.Emit(event_code::AttemptEnded,
                { { "job", JobText(key.mJob) },
+                 { "server", server },
                  { "index", std::to_string(key.mIndex) },
                  { "attempt", std::to_string(one.mAttempt) },
                  { "outcome", std::string(Name(outcome)) },
--- a/cactusmast/task_executor.cc
+++ b/cactusmast/task_executor.cc
@@ -441,7 +441,8 @@
       event_code::StartNotMade,
       { { "task", JobText(aTask.mJob) + "." + std::to_string(aTask.mIndex) },
         { "run", std::to_string(aRun) },
-        { "result", std::to_string(int(aResult)) } });
+        { "result", std::string(Name(aResult)) },
+        { "unanswered_before", std::to_string(one.mRepeats) } });
   }
   switch (aResult) {
     case start_result::Started:
