--- a/cactusmast/job_coordinator.h
+++ b/cactusmast/job_coordinator.h
@@ -107,7 +107,7 @@
 
   // Answers at once or later, once.
   void Submit(job_request aRequest, instant aNow);
-  void OnCallerGone(caller_id aCaller, instant aNow);
+  void OnCallerGone(caller_id aCaller);
   // False when no such job is open here.
   bool Cancel(uint64_t aJob, instant aNow);
 
@@ -204,7 +204,7 @@
                                instant aNow);
   void OnEnd(peer_id aPeer, const wire::task_end& aEnd, instant aNow);
   void Finish(uint64_t aJob, const job_outcome& aOutcome, instant aNow);
-  void Withdraw(job& aJob, instant aNow);
+  void Withdraw(job& aJob);
   void Settle(const task_key& aKey, instant aUntil);
   void Release(const task_key& aKey);
   bool MayHaveRun(const job& aJob) const;
--- /dev/null
+++ b/cactusmast/job_coordinator_executors.cc
@@ -0,0 +1,306 @@
+#include "cactusmast/job_coordinator.h"
+
+#include <algorithm>
+
+#include "cactusmast/job_coordinator_limits.h"
+#include "cactusmast/time_spans.h"
+
+namespace cactusmast {
+
+using namespace detail;
+
+void
+job_coordinator::OnExecutorUp(peer_id aPeer,
+                              const peer_identity& aWho,
+                              instant aNow)
+{
+  // An executor that connects again has given up its earlier connection, also
+  // if this side has not noticed yet.
+  for (const server_view& view : mViews) {
+    if (view.mName == aWho.mName) {
+      peer_id former = view.mPeer;
+      mLinks.Drop(former);
+      OnExecutorDown(former, aNow);
+      break;
+    }
+  }
+  executor& added = mExecutors[aPeer];
+  added.mView = mViews.size();
+  added.mHeardAt = aNow;
+  server_view view;
+  view.mPeer = aPeer;
+  view.mName = aWho.mName;
+  view.mDataCenter = aWho.mDataCenter;
+  mViews.push_back(view);
+}
+
+void
+job_coordinator::OnExecutorDown(peer_id aPeer, instant aNow)
+{
+  auto found = mExecutors.find(aPeer);
+  if (found == mExecutors.end()) {
+    return;
+  }
+  std::set<task_key> unsure = std::move(found->second.mTasks);
+  size_t index = found->second.mView;
+  mExecutors.erase(found);
+  mViews.erase(mViews.begin() + long(index));
+  for (auto& [peer, other] : mExecutors) {
+    if (other.mView > index) {
+      other.mView--;
+    }
+  }
+  for (const task_key& key : unsure) {
+    Settle(key, aNow + kSettleTime);
+  }
+  if (!unsure.empty()) {
+    mEvents.Emit(event_code::WorkerLost,
+                 { { "peer", std::to_string(aPeer) },
+                   { "tasks_unsettled", std::to_string(unsure.size()) } });
+  }
+}
+
+void
+job_coordinator::Settle(const task_key& aKey, instant aUntil)
+{
+  auto found = mJobs.find(aKey.mJob);
+  if (found == mJobs.end()) {
+    return;
+  }
+  // Nobody can say any more whether it was started.
+  found->second.mRan = true;
+  task& one = TaskOf(found->second, aKey);
+  one.mState = task_state::Settling;
+  one.mAt = 0;
+  one.mSettledAt = aUntil;
+  mCounters.mLost++;
+  mSettling.insert({ aUntil, aKey });
+}
+
+void
+job_coordinator::RefreshFree(executor& aAt)
+{
+  task_size free = aAt.mReportedFree;
+  task_size unreported;
+  for (const auto& [offer, size] : aAt.mUnreported) {
+    unreported += size;
+  }
+  free -= unreported;
+  mViews[aAt.mView].mFree = free;
+  mViews[aAt.mView].mUnreportedCpuMillis = unreported.mCpuMillis;
+}
+
+void
+job_coordinator::OnReport(peer_id aPeer,
+                          const wire::server_report_msg& aSaid,
+                          instant aNow)
+{
+  auto found = mExecutors.find(aPeer);
+  if (found == mExecutors.end()) {
+    return;
+  }
+  executor& at = found->second;
+  at.mHeardAt = aNow;
+  server_view& view = mViews[at.mView];
+  auto state = server_state(
+    std::min<uint8_t>(aSaid.state, uint8_t(server_state::Count) - 1));
+  if (view.mState != state) {
+    mEvents.Emit(event_code::ServerStateChanged,
+                 { { "server", view.mName },
+                   { "before", std::string(Name(view.mState)) },
+                   { "now", std::string(Name(state)) } });
+  }
+  view.mState = state;
+  view.mService = aSaid.service;
+  view.mCapacity = { aSaid.cpu_millis, aSaid.memory_mb, aSaid.gpus };
+  view.mQueuedCpuMillis = aSaid.queued_cpu_millis;
+  view.mSlowness = aSaid.slowness_permille / 1000.0;
+  view.mMeanRunMs = aSaid.mean_run_ms;
+  view.mRoomInMs = aSaid.room_in_ms;
+  view.mLabels = aSaid.labels;
+  view.mReportedAt = aNow;
+  at.mReportedFree = { aSaid.free_cpu_millis,
+                       aSaid.free_memory_mb,
+                       aSaid.free_gpus };
+  at.mUnreported.erase(at.mUnreported.begin(),
+                       at.mUnreported.upper_bound(aSaid.last_offer));
+  RefreshFree(at);
+  mRoomChanged = true;
+  for (const wire::task_end& end : aSaid.ends) {
+    OnEnd(aPeer, end, aNow);
+  }
+  for (const wire::task_forecast& forecast : aSaid.too_slow) {
+    OnTooSlow(aPeer, forecast, aNow);
+  }
+}
+
+// The task's own progress is a far better estimate than the declared one. If a
+// faster backend server can end it in time after a new start, it is withdrawn
+// here; once its end is reported it is placed anew.
+void
+job_coordinator::OnTooSlow(peer_id aPeer,
+                           const wire::task_forecast& aForecast,
+                           instant aNow)
+{
+  task_key key{ uint64_t(aForecast.job_high()) << 32 | aForecast.job_low(),
+                aForecast.step(),
+                aForecast.index() };
+  auto found = mJobs.find(key.mJob);
+  auto at = mExecutors.find(aPeer);
+  bool known = found != mJobs.end() && at != mExecutors.end() &&
+               key.mStep < found->second.mTasks.size() &&
+               key.mIndex < found->second.mTasks[key.mStep].size();
+  if (!known) {
+    return;
+  }
+  job& owner = found->second;
+  task& one = TaskOf(owner, key);
+  if (one.mState != task_state::Placed || one.mAt != aPeer ||
+      one.mAttempt != aForecast.attempt()) {
+    return;
+  }
+  one.mMeasuredMs =
+    uint32_t(aForecast.total_ms() / mViews[at->second.mView].mSlowness);
+  placement_request request = RequestFor(owner, key, aNow);
+  request.mAvoid = aPeer;
+  placement_decision decision = ChooseServer(mViews, request, mRandom);
+  bool better = decision.mVerdict == placement_verdict::Place &&
+                decision.mChoice.mForecast.mMissRisk < kWorthMovingRisk;
+  mEvents.Emit(
+    event_code::TaskTooSlow,
+    { { "job", JobText(key.mJob) },
+      { "index", std::to_string(key.mIndex) },
+      { "server", mViews[at->second.mView].mName },
+      { "total_ms", std::to_string(aForecast.total_ms()) },
+      { "left_ms", std::to_string(int(MsBetween(aNow, owner.mDeadline))) },
+      { "declared_ms", std::to_string(request.mStep->mEstimateMs) },
+      { "moves", better ? "yes" : "no" } });
+  bool hopeless =
+    decision.mVerdict == placement_verdict::Hopeless &&
+    aForecast.total_ms() > kSurelyLate * MsBetween(aNow, owner.mDeadline);
+  if (hopeless) {
+    Finish(key.mJob,
+           { job_ending::Expired, "cannot end before its deadline", {} },
+           aNow);
+    return;
+  }
+  if (!better) {
+    return;
+  }
+  wire::stop_tasks_msg order;
+  order.job = key.mJob;
+  order.step = key.mStep;
+  order.indexes.push_back(key.mIndex);
+  mLinks.Stop(aPeer, std::move(order));
+}
+
+void
+job_coordinator::OnEnd(peer_id aPeer, const wire::task_end& aEnd, instant aNow)
+{
+  task_key key{ uint64_t(aEnd.job_high()) << 32 | aEnd.job_low(),
+                aEnd.step(),
+                aEnd.index() };
+  auto at = mExecutors.find(aPeer);
+  if (at != mExecutors.end()) {
+    at->second.mTasks.erase(key);
+  }
+  auto found = mJobs.find(key.mJob);
+  bool known = found != mJobs.end() &&
+               key.mStep < found->second.mTasks.size() &&
+               key.mIndex < found->second.mTasks[key.mStep].size();
+  if (!known) {
+    return;
+  }
+  job& owner = found->second;
+  task& one = TaskOf(owner, key);
+  bool current = one.mState == task_state::Placed && one.mAt == aPeer &&
+                 one.mAttempt == aEnd.attempt();
+  if (!current) {
+    return;
+  }
+  auto outcome = attempt_outcome(aEnd.outcome());
+  if (outcome == attempt_outcome::Done) {
+    one.mState = task_state::Done;
+    if (--owner.mLeft == 0) {
+      Finish(key.mJob, { job_ending::Completed, "", {} }, aNow);
+    }
+    return;
+  }
+  std::string server =
+    at == mExecutors.end() ? "" : mViews[at->second.mView].mName;
+  mEvents.Emit(event_code::AttemptEnded,
+               { { "job", JobText(key.mJob) },
+                 { "server", server },
+                 { "index", std::to_string(key.mIndex) },
+                 { "attempt", std::to_string(one.mAttempt) },
+                 { "outcome", std::string(Name(outcome)) },
+                 { "run_ms", std::to_string(aEnd.run_ms()) } });
+  one.mState = task_state::Waiting;
+  one.mAt = 0;
+  if (NeverStarted(outcome)) {
+    mCounters.mBounced++;
+  } else {
+    one.mAvoid = aPeer;
+    owner.mRan = true;
+  }
+  if (outcome == attempt_outcome::Failed &&
+      ++one.mFailures >= std::max<uint32_t>(1, owner.mRoute->mMaxAttempts)) {
+    Finish(key.mJob,
+           { job_ending::Failed, "a task failed in every attempt", {} },
+           aNow);
+    return;
+  }
+  Enqueue(owner, key);
+}
+
+void
+job_coordinator::Release(const task_key& aKey)
+{
+  auto found = mJobs.find(aKey.mJob);
+  if (found == mJobs.end()) {
+    return;
+  }
+  task& one = TaskOf(found->second, aKey);
+  if (one.mState == task_state::Settling) {
+    one.mState = task_state::Waiting;
+    Enqueue(found->second, aKey);
+  }
+}
+
+void
+job_coordinator::ExpireSettling(instant aNow)
+{
+  while (!mSettling.empty() && mSettling.begin()->first <= aNow) {
+    task_key key = mSettling.begin()->second;
+    mSettling.erase(mSettling.begin());
+    Release(key);
+  }
+}
+
+void
+job_coordinator::DropSilentExecutors(instant aNow)
+{
+  std::vector<peer_id> silent;
+  for (const auto& [peer, at] : mExecutors) {
+    if (aNow - at.mHeardAt > kExecutorSilence) {
+      silent.push_back(peer);
+    }
+  }
+  for (peer_id peer : silent) {
+    mEvents.Emit(event_code::PeerSilent,
+                 { { "peer", mViews[mExecutors[peer].mView].mName } });
+    mLinks.Drop(peer);
+    OnExecutorDown(peer, aNow);
+  }
+}
+
+size_t
+job_coordinator::ReadyServers() const
+{
+  return size_t(
+    std::count_if(mViews.begin(), mViews.end(), [](const server_view& aView) {
+      return aView.mState == server_state::Ready;
+    }));
+}
+
+} // namespace cactusmast
--- /dev/null
+++ b/cactusmast/job_coordinator_limits.h
@@ -0,0 +1,41 @@
+// Limits of a job coordinator, with the reason for each.
+
+#ifndef CACTUSMAST_JOB_COORDINATOR_LIMITS_H_
+#define CACTUSMAST_JOB_COORDINATOR_LIMITS_H_
+
+#include "cactusmast/ids.h"
+
+namespace cactusmast {
+namespace detail {
+
+using std::chrono::milliseconds;
+
+// An order that would not start by then comes back, so that the task can go
+// where there is room by now. Somewhat over the longest wait that is planned.
+constexpr uint32_t kStartWithinMs = 40;
+// The answer must be back before the caller stops waiting.
+constexpr duration kAnswerMargin = milliseconds(12);
+// A caller that was refused for want of room is asked to come back after about
+// the length of the longest tasks in the queue.
+constexpr duration kRetryAfter = milliseconds(1000);
+
+// An answer is worth nothing to its caller after this many times the
+// objective: no task is started that could only end later.
+constexpr int kUsefulObjectives = 3;
+// A task that runs too slowly is started anew elsewhere if it would miss its
+// deadline there with less than this chance.
+constexpr double kWorthMovingRisk = 0.4;
+// Progress is known to about a tenth.
+constexpr double kSurelyLate = 1.2;
+// With less than this share of all room free, a job that can only be late any
+// more and of which nothing was started is refused: it would take the room that
+// the next ones need to be in time, so that in the end all are late.
+constexpr double kScarceRoom = 0.1;
+// Steps that find no place are tried this many at a time: each costs a look at
+// all backend servers, and what is tried first is most urgent.
+constexpr uint32_t kMaxStuckSteps = 24;
+
+} // namespace detail
+} // namespace cactusmast
+
+#endif // CACTUSMAST_JOB_COORDINATOR_LIMITS_H_
--- /dev/null
+++ b/cactusmast/job_coordinator_placement.cc
@@ -0,0 +1,217 @@
+#include "cactusmast/job_coordinator.h"
+
+#include <algorithm>
+
+#include "cactusmast/job_coordinator_limits.h"
+#include "cactusmast/time_spans.h"
+
+namespace cactusmast {
+
+using namespace detail;
+
+job_coordinator::waiting_key
+job_coordinator::WaitingKey(const job& aJob, const task_key& aKey) const
+{
+  const job_step& step = aJob.mSubmission.mSteps[aKey.mStep];
+  instant latest = aJob.mObjectiveAt - milliseconds(step.mEstimateMs);
+  return { latest, aJob.mRoute->mPriority, aKey };
+}
+
+void
+job_coordinator::Enqueue(const job& aJob, const task_key& aKey)
+{
+  mWaiting.insert(WaitingKey(aJob, aKey));
+  mRoomChanged = true;
+}
+
+job_coordinator::task&
+job_coordinator::TaskOf(job& aJob, const task_key& aKey)
+{
+  return aJob.mTasks[aKey.mStep][aKey.mIndex];
+}
+
+void
+job_coordinator::PlaceWaiting(instant aNow)
+{
+  mRoomChanged = false;
+  for (server_view& view : mViews) {
+    view.mAgeMs = MsBetween(view.mReportedAt, aNow);
+  }
+  std::vector<task_key> order;
+  for (const waiting_key& key : mWaiting) {
+    order.push_back(std::get<2>(key));
+  }
+  // Tasks that would meet their objective come first; the others are served
+  // from what is left. Otherwise, once work backs up, each answer would be
+  // late.
+  std::vector<task_key> late =
+    PlaceAll(order, placement_aim::InObjective, aNow);
+  PlaceAll(ShedLate(late, aNow), placement_aim::BeforeDeadline, aNow);
+  SendOrders(aNow);
+  std::set<uint64_t> hopeless = std::move(mHopeless);
+  mHopeless.clear();
+  for (uint64_t id : hopeless) {
+    auto found = mJobs.find(id); // it may have been shed in this same turn
+    if (found != mJobs.end()) {
+      Finish(id, ExpiryOf(found->second), aNow);
+    }
+  }
+}
+
+std::vector<task_key>
+job_coordinator::ShedLate(const std::vector<task_key>& aLate, instant aNow)
+{
+  std::vector<task_key> kept;
+  std::set<uint64_t> shed;
+  for (const task_key& key : aLate) {
+    const job& owner = mJobs.at(key.mJob);
+    bool unstarted = !MayHaveRun(owner);
+    bool scarce = FreeShare(mViews, owner.mRoute->mService) < kScarceRoom;
+    // It may be late only because the backend servers that it would be in time
+    // on have no room at this moment.
+    bool late = std::get<0>(WaitingKey(owner, key)) <= aNow;
+    if (unstarted && scarce && late) {
+      shed.insert(key.mJob);
+    } else {
+      kept.push_back(key);
+    }
+  }
+  for (uint64_t id : shed) {
+    Finish(id,
+           { job_ending::Refused, "no room within its objective", kRetryAfter },
+           aNow);
+  }
+  return kept;
+}
+
+std::vector<task_key>
+job_coordinator::PlaceAll(const std::vector<task_key>& aOrder,
+                          placement_aim aAim,
+                          instant aNow)
+{
+  // Tasks of one step are alike, so where one found no place the others do
+  // not either.
+  std::pair<uint64_t, uint32_t> stuck{ 0, UINT32_MAX };
+  std::vector<task_key> left;
+  uint32_t stuckSteps = 0;
+  for (const task_key& key : aOrder) {
+    bool alike = std::make_pair(key.mJob, key.mStep) == stuck;
+    if (alike || stuckSteps >= kMaxStuckSteps) {
+      left.push_back(key);
+      continue;
+    }
+    placement_verdict verdict = PlaceOne(mJobs.at(key.mJob), key, aAim, aNow);
+    if (verdict == placement_verdict::Place) {
+      continue;
+    }
+    left.push_back(key);
+    stuck = { key.mJob, key.mStep };
+    stuckSteps++;
+    if (verdict == placement_verdict::Hopeless) {
+      mHopeless.insert(key.mJob);
+    }
+  }
+  return left;
+}
+
+placement_request
+job_coordinator::RequestFor(const job& aJob, const task_key& aKey, instant aNow)
+{
+  const task& one = aJob.mTasks[aKey.mStep][aKey.mIndex];
+  placement_request request;
+  request.mStep = &aJob.mSubmission.mSteps[aKey.mStep];
+  bool measured = one.mMeasuredMs > 0;
+  request.mEstimateMs = measured ? one.mMeasuredMs : request.mStep->mEstimateMs;
+  request.mEstimateSigma = measured ? kMeasuredSigma : kDeclaredSigma;
+  request.mService = aJob.mRoute->mService;
+  request.mDataCenter = mDataCenter;
+  request.mAvoid = one.mAvoid;
+  instant until =
+    measured ? aJob.mDeadline : std::min(aJob.mDeadline, aJob.mUsefulUntil);
+  request.mDeadlineMs = MsBetween(aNow, until);
+  request.mObjectiveBaseMs =
+    aJob.mRoute->mObjectiveBaseMs - MsBetween(aJob.mAcceptedAt, aNow);
+  request.mObjectiveStretch = aJob.mRoute->mObjectiveStretch;
+  return request;
+}
+
+placement_verdict
+job_coordinator::PlaceOne(job& aJob,
+                          const task_key& aKey,
+                          placement_aim aAim,
+                          instant aNow)
+{
+  task& one = TaskOf(aJob, aKey);
+  const job_step& step = aJob.mSubmission.mSteps[aKey.mStep];
+  placement_request request = RequestFor(aJob, aKey, aNow);
+  request.mAim = aAim;
+  placement_decision decision = ChooseServer(mViews, request, mRandom);
+  if (decision.mVerdict == placement_verdict::Nowhere && one.mAvoid != 0) {
+    request.mAvoid = 0;
+    decision = ChooseServer(mViews, request, mRandom);
+  }
+  if (decision.mVerdict != placement_verdict::Place) {
+    return decision.mVerdict;
+  }
+  server_view& view = mViews[decision.mChoice.mView];
+  view.mFree -= step.mSize;
+  view.mUnreportedCpuMillis += step.mSize.mCpuMillis;
+  mWaiting.erase(WaitingKey(aJob, aKey));
+  one.mState = task_state::Placed;
+  one.mAt = view.mPeer;
+  one.mAttempt++;
+  mExecutors[view.mPeer].mTasks.insert(aKey);
+  auto estimateMs = uint32_t(request.mEstimateMs);
+  mOrders[{ view.mPeer, aKey.mJob, aKey.mStep, estimateMs }].push_back(
+    aKey.mIndex);
+  mCounters.mAttempts++;
+  return placement_verdict::Place;
+}
+
+void
+job_coordinator::SendOrders(instant aNow)
+{
+  auto toMs = [](duration aSpan) {
+    return std::chrono::duration_cast<milliseconds>(aSpan).count();
+  };
+  for (const auto& [place, indexes] : mOrders) {
+    auto [peer, id, stepNumber, estimateMs] = place;
+    job& owner = mJobs.at(id);
+    executor& at = mExecutors[peer];
+    const job_step& step = owner.mSubmission.mSteps[stepNumber];
+    wire::start_tasks_msg order;
+    order.offer = ++at.mLastOffer;
+    order.job = id;
+    order.step = stepNumber;
+    order.spec = owner.mSubmission.mSpec;
+    order.cpu_millis = uint32_t(step.mSize.mCpuMillis);
+    order.memory_mb = uint32_t(step.mSize.mMemoryMb);
+    order.gpus = uint32_t(step.mSize.mGpus);
+    order.estimate_ms = estimateMs;
+    order.urgent_in_ms = int32_t(
+      toMs(std::get<0>(WaitingKey(owner, { id, stepNumber, 0 })) - aNow));
+    order.start_within_ms = kStartWithinMs;
+    order.stop_after_ms =
+      uint32_t(std::max<int64_t>(0, toMs(owner.mDeadline - aNow)));
+    task_size size;
+    for (uint32_t index : indexes) {
+      order.tasks.emplace_back(index, owner.mTasks[stepNumber][index].mAttempt);
+      size += step.mSize;
+    }
+    at.mUnreported[order.offer] = size;
+    mCounters.mOrders++;
+    mEvents.Emit(
+      event_code::TasksPlaced,
+      { { "job", JobText(id) },
+        { "server", mViews[at.mView].mName },
+        { "tasks", std::to_string(indexes.size()) },
+        { "free_cpu_millis",
+          std::to_string(mViews[at.mView].mFree.mCpuMillis) },
+        { "age_ms",
+          std::to_string(toMs(aNow - mViews[at.mView].mReportedAt)) } });
+    mLinks.Start(peer, std::move(order));
+  }
+  mOrders.clear();
+}
+
+} // namespace cactusmast
--- /dev/null
+++ b/cactusmast/task_executor_limits.h
@@ -0,0 +1,57 @@
+// Limits of a task executor, with the reason for each.
+
+#ifndef CACTUSMAST_TASK_EXECUTOR_LIMITS_H_
+#define CACTUSMAST_TASK_EXECUTOR_LIMITS_H_
+
+#include "cactusmast/ids.h"
+
+namespace cactusmast {
+namespace detail {
+
+using std::chrono::milliseconds;
+
+// Reports go out at once with ends, else when something changed, but no more
+// often than this, since each wakes both processes.
+constexpr duration kReportInterval = milliseconds(25);
+// Unasked, so that entries can tell silence from calm.
+constexpr duration kQuietReportInterval = milliseconds(150);
+// An unanswered stop is repeated: it may have been lost, and its answer is
+// what settles the attempt.
+constexpr duration kStopRetry = milliseconds(40);
+// Between looks at a backend server that refuses connections.
+constexpr duration kLookRetry = milliseconds(50);
+// A backend server that has answered no look for this long is taken to be gone
+// until it does. Three or more looks were made in that time.
+constexpr duration kSilentAfter = milliseconds(280);
+// An order that is not answered is repeated under the same run number, which
+// starts the task once at most whenever the first one is carried out.
+constexpr uint32_t kMaxRepeats = 5;
+// While tasks of unknown size are being stopped, which takes up to 50 ms.
+constexpr duration kStrayLookInterval = milliseconds(10);
+// A start is repeated this often for reasons that the next order can mend: a
+// lease or run number that was too low.
+constexpr uint32_t kMaxStartRetries = 4;
+// A greater token than ours was left by a predecessor whose clock was ahead.
+constexpr uint64_t kFenceStep = 60;
+// After this many failures in a row, of whatever jobs, the backend server and
+// not the tasks is taken to be at fault.
+constexpr uint32_t kFailuresToIll = 3;
+constexpr duration kIllTime = milliseconds(1500);
+// Run times are compared with estimates over about the last ten tasks, and
+// begin as if one task of this length had taken what was estimated.
+constexpr double kLearnDecay = 0.9;
+constexpr double kPriorMs = 150;
+// Progress comes in whole percents: from here on the forecast is good to about
+// a tenth.
+constexpr duration kFirstForecastAfter = milliseconds(100);
+constexpr uint32_t kFirstForecastPercent = 5;
+// A task that runs longer than forecast ends soon, or its forecast was wrong.
+constexpr duration kOverdueEnd = milliseconds(10);
+// Run numbers are remembered for this many ended tasks; a caller sends its job
+// again within seconds.
+constexpr size_t kRememberedRuns = 4096;
+
+} // namespace detail
+} // namespace cactusmast
+
+#endif // CACTUSMAST_TASK_EXECUTOR_LIMITS_H_
--- a/cactusmast/testing/sized_world.cc
+++ b/cactusmast/testing/sized_world.cc
@@ -742,7 +742,7 @@
     if (one.mJob == aJob && !one.mAnswered && !one.mLost) {
       one.mLost = true;
       Deliver(false, one.mEntry, [this, i, entry = one.mEntry] {
-        Coordinator(entry).OnCallerGone(i, mNow);
+        Coordinator(entry).OnCallerGone(i);
       });
     }
   }
--- a/shell/coordinator_daemon.cc
+++ b/shell/coordinator_daemon.cc
@@ -76,7 +76,7 @@
                        kMaxBody,
                        [this](http_exchange& aOne) { OnRequest(aOne); },
                        [this](uint64_t aId) {
-                         mCoordinator.OnCallerGone(aId, Now());
+                         mCoordinator.OnCallerGone(aId);
                          TickSoon();
                        })
                        .Value());
--- a/shell/log_sink.cc
+++ b/shell/log_sink.cc
@@ -14,8 +14,7 @@
 namespace cactusmast {
 namespace {
 
-// About 15 us a line: at most half a hundredth of a core goes into logging. An
-// entry with 100 jobs a second writes about 400 lines.
+// An entry with 100 jobs a second writes about 400 lines: four to a job.
 constexpr uint32_t kLinesPerSecond = 600;
 
 uint64_t gUnwritten = 0; // lines that the stream did not take
