--- a/cactusmast/job_coordinator.cc
+++ b/cactusmast/job_coordinator.cc
@@ -222,6 +222,9 @@
       mCounters.mFailed++;
       break;
   }
+  bool completed = aOutcome.mEnding == job_ending::Completed;
+  (completed ? mCounters.mCompletedIn : mCounters.mOtherwiseIn)
+    .Observe(aNow - ended.mAcceptedAt);
   LogOutcome(ended, aOutcome, aNow);
   Withdraw(ended);
   mDeadlines.erase({ ended.mDeadline, aJob });
--- a/cactusmast/job_coordinator.h
+++ b/cactusmast/job_coordinator.h
@@ -22,6 +22,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "cactusmast/latency_histogram.h"
 #include "cactusmast/placement.h"
 #include "cactusmast/ports.h"
 #include "cactusmast/route_config.h"
@@ -94,6 +95,8 @@
   uint64_t mAttempts = 0;
   uint64_t mBounced = 0; // attempts that an executor did not start
   uint64_t mLost = 0;
+  latency_histogram mCompletedIn; // from acceptance to the answer
+  latency_histogram mOtherwiseIn; // the same, for all other endings
 };
 
 class job_coordinator
--- /dev/null
+++ b/cactusmast/latency_histogram.h
@@ -0,0 +1,47 @@
+// Counts of latencies in fixed buckets, for the metrics page.
+
+#ifndef CACTUSMAST_LATENCY_HISTOGRAM_H_
+#define CACTUSMAST_LATENCY_HISTOGRAM_H_
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+
+#include "cactusmast/ids.h"
+
+namespace cactusmast {
+
+class latency_histogram
+{
+public:
+  // Upper bounds in ms. They double from below the shortest tasks to beyond
+  // the usual time limit of 1500 ms.
+  static constexpr std::array<uint32_t, 9> kBoundsMs = { 10,  20,   40,
+                                                         80,  160,  320,
+                                                         640, 1280, 2560 };
+
+  void Observe(duration aLatency)
+  {
+    auto ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(aLatency).count();
+    const auto* bound = std::lower_bound(
+      kBoundsMs.begin(), kBoundsMs.end(), uint32_t(std::max<int64_t>(0, ms)));
+    mCounts[size_t(bound - kBoundsMs.begin())]++;
+    mSumMs += double(ms);
+  }
+
+  // One more than there are bounds: the last counts what is over all.
+  const std::array<uint64_t, kBoundsMs.size() + 1>& Counts() const
+  {
+    return mCounts;
+  }
+  double SumMs() const { return mSumMs; }
+
+private:
+  std::array<uint64_t, kBoundsMs.size() + 1> mCounts{};
+  double mSumMs = 0;
+};
+
+} // namespace cactusmast
+
+#endif // CACTUSMAST_LATENCY_HISTOGRAM_H_
--- a/cactusmast/testing/instance_parts_test.cc
+++ b/cactusmast/testing/instance_parts_test.cc
@@ -8,8 +8,10 @@
 
 #include "cactusmast/entry_directory.h"
 #include "cactusmast/instance_settings.h"
+#include "cactusmast/latency_histogram.h"
 #include "cactusmast/placement.h"
 #include "cactusmast/table_watcher.h"
+#include "shell/metrics_page.h"
 
 namespace cactusmast::testing {
 namespace {
@@ -242,6 +244,26 @@
   CHECK(!CanNeverRun({}, "s", step));
 }
 
+TEST_CASE("latencies are served as a histogram that adds up")
+{
+  latency_histogram measured;
+  for (int ms : { 0, 10, 11, 160, 161, 3000 }) {
+    measured.Observe(milliseconds(ms));
+  }
+  metrics_page page;
+  page.Latency("job_seconds", "help", measured);
+  std::string text = page.Render();
+  for (const char* line : { "job_seconds_bucket{le=\"0.01\"} 2",
+                            "job_seconds_bucket{le=\"0.02\"} 3",
+                            "job_seconds_bucket{le=\"0.16\"} 4",
+                            "job_seconds_bucket{le=\"2.56\"} 5",
+                            "job_seconds_bucket{le=\"+Inf\"} 6",
+                            "job_seconds_count 6",
+                            "job_seconds_sum 3.342" }) {
+    CHECK_MESSAGE(text.find(line) != std::string::npos, text);
+  }
+}
+
 TEST_CASE("the templates of the deployment hold all keys of the settings")
 {
   // A key that the template lacks or misspells keeps a process from starting
--- a/shell/coordinator_daemon.cc
+++ b/shell/coordinator_daemon.cc
@@ -524,6 +524,12 @@
   aPage->Counter("cactusmast_jobs_given_up",
                  "Jobs whose callers left.",
                  double(counts.mGivenUp));
+  aPage->Latency("cactusmast_job_completed_seconds",
+                 "From acceptance to the answer of completed jobs.",
+                 counts.mCompletedIn);
+  aPage->Latency("cactusmast_job_otherwise_seconds",
+                 "From acceptance to the answer of all other jobs.",
+                 counts.mOtherwiseIn);
   aPage->Counter("cactusmast_orders_sent",
                  "Messages that ordered tasks.",
                  double(counts.mOrders));
--- a/shell/metrics_page.cc
+++ b/shell/metrics_page.cc
@@ -1,6 +1,7 @@
 #include "shell/metrics_page.h"
 
 #include <fstream>
+#include <limits>
 #include <prometheus/text_serializer.h>
 #include <sys/resource.h>
 #include <unistd.h>
@@ -43,6 +44,36 @@
   Add(aName, aHelp, prometheus::MetricType::Gauge, aValue);
 }
 
+void
+metrics_page::Latency(const std::string& aName,
+                      const std::string& aHelp,
+                      const latency_histogram& aMeasured)
+{
+  constexpr double kMsInSecond = 1000;
+  prometheus::ClientMetric metric;
+  uint64_t below = 0;
+  for (size_t i = 0; i < latency_histogram::kBoundsMs.size(); i++) {
+    below += aMeasured.Counts()[i];
+    prometheus::ClientMetric::Bucket bucket;
+    bucket.cumulative_count = below;
+    bucket.upper_bound = latency_histogram::kBoundsMs[i] / kMsInSecond;
+    metric.histogram.bucket.push_back(bucket);
+  }
+  below += aMeasured.Counts().back();
+  prometheus::ClientMetric::Bucket all;
+  all.cumulative_count = below;
+  all.upper_bound = std::numeric_limits<double>::infinity();
+  metric.histogram.bucket.push_back(all);
+  metric.histogram.sample_count = below;
+  metric.histogram.sample_sum = aMeasured.SumMs() / kMsInSecond;
+  prometheus::MetricFamily family;
+  family.name = aName;
+  family.help = aHelp;
+  family.type = prometheus::MetricType::Histogram;
+  family.metric.push_back(metric);
+  mFamilies.push_back(std::move(family));
+}
+
 std::string
 metrics_page::Render() const
 {
--- a/shell/metrics_page.h
+++ b/shell/metrics_page.h
@@ -10,6 +10,8 @@
 
 #include <prometheus/metric_family.h>
 
+#include "cactusmast/latency_histogram.h"
+
 namespace cactusmast {
 
 class metrics_page
@@ -19,6 +21,10 @@
                const std::string& aHelp,
                double aValue);
   void Gauge(const std::string& aName, const std::string& aHelp, double aValue);
+  // Seconds, as is usual in this format.
+  void Latency(const std::string& aName,
+               const std::string& aHelp,
+               const latency_histogram& aMeasured);
   std::string Render() const;
 
 private:
