Refuse bounds for each server and routes with tickets as not served

Both were decoded or passed over and not kept to: a step with maxPerServer could have been started beyond it (rule ROUTE).

--- a/cactusmast/route_config.h
+++ b/cactusmast/route_config.h
@@ -31,6 +31,9 @@
   double mObjectiveStretch = 1.0; // of the job's longest chain of run times
   uint32_t mPriority = 0;         // 0 goes first
   uint32_t mMaxAttempts = 1;
+  // Only some backend servers may run its steps, by tickets that this system
+  // does not obtain.
+  bool mNeedsTickets = false;
 };
 
 struct service_config
--- a/cactusmast/sized_task.h
+++ b/cactusmast/sized_task.h
@@ -119,7 +119,6 @@
   uint32_t mEstimateMs = 0;
   std::string mRequiredLabel; // empty: any backend server
   std::string mDataRack;      // empty: anywhere
-  uint32_t mMaxPerServer = 0; // 0: no bound
 };
 
 struct job_submission
--- a/shell/coordinator_daemon.cc
+++ b/shell/coordinator_daemon.cc
@@ -210,6 +210,16 @@
                    milliseconds(1000)));
     return;
   }
+  if (aRoute.mNeedsTickets) {
+    Refuse(aExchange.Id(),
+           failure(error_code::Unavailable,
+                   "submit",
+                   mInstance.mName,
+                   "routes whose starts need tickets are not served",
+                   run_state::NotRun,
+                   milliseconds(60000)));
+    return;
+  }
   result<job_submission> decoded =
     mAdapter.mCallers.DecodeJob(aExchange.Body());
   if (!decoded.Ok()) {
