--- a/cactusmast/job_coordinator.cc
+++ b/cactusmast/job_coordinator.cc
@@ -177,8 +177,6 @@
                             const job_outcome& aOutcome,
                             instant aNow)
 {
-  auto tookMs =
-    std::chrono::duration_cast<milliseconds>(aNow - aJob.mAcceptedAt).count();
   uint32_t waiting = 0;
   uint32_t settling = 0;
   uint32_t attempts = 0;
@@ -194,7 +192,7 @@
                  { "route", aJob.mRoute->mName },
                  { "ending", std::string(Name(aOutcome.mEnding)) },
                  { "reason", aOutcome.mReason },
-                 { "took_ms", std::to_string(tookMs) },
+                 { "took_ms", std::to_string(ToMs(aNow - aJob.mAcceptedAt)) },
                  { "in_objective", aNow <= aJob.mObjectiveAt ? "yes" : "no" },
                  { "left", std::to_string(aJob.mLeft) },
                  { "waiting", std::to_string(waiting) },
--- a/cactusmast/job_coordinator.h
+++ b/cactusmast/job_coordinator.h
@@ -199,6 +199,7 @@
                              instant aNow);
   void SendOrders(instant aNow);
   void RefreshFree(executor& aAt);
+  task* CurrentAttempt(peer_id aPeer, const task_key& aKey, uint32_t aAttempt);
   void OnTooSlow(peer_id aPeer,
                  const wire::task_forecast& aForecast,
                  instant aNow);
--- a/cactusmast/job_coordinator_executors.cc
+++ b/cactusmast/job_coordinator_executors.cc
@@ -9,6 +9,20 @@
 
 using namespace detail;
 
+namespace {
+
+// The task that a row of a report is about.
+template<typename Row>
+task_key
+KeyOf(const Row& aRow)
+{
+  return { uint64_t(aRow.job_high()) << 32 | aRow.job_low(),
+           aRow.step(),
+           aRow.index() };
+}
+
+} // namespace
+
 void
 job_coordinator::OnExecutorUp(peer_id aPeer,
                               const peer_identity& aWho,
@@ -134,6 +148,26 @@
   }
 }
 
+// Null unless the task is placed at aPeer under this attempt: reports may be
+// about jobs that have ended and attempts that were given up.
+job_coordinator::task*
+job_coordinator::CurrentAttempt(peer_id aPeer,
+                                const task_key& aKey,
+                                uint32_t aAttempt)
+{
+  auto found = mJobs.find(aKey.mJob);
+  bool known = found != mJobs.end() &&
+               aKey.mStep < found->second.mTasks.size() &&
+               aKey.mIndex < found->second.mTasks[aKey.mStep].size();
+  if (!known) {
+    return nullptr;
+  }
+  task& one = TaskOf(found->second, aKey);
+  bool current = one.mState == task_state::Placed && one.mAt == aPeer &&
+                 one.mAttempt == aAttempt;
+  return current ? &one : nullptr;
+}
+
 // The task's own progress is a far better estimate than the declared one. If a
 // faster backend server can end it in time after a new start, it is withdrawn
 // here; once its end is reported it is placed anew.
@@ -142,23 +176,14 @@
                            const wire::task_forecast& aForecast,
                            instant aNow)
 {
-  task_key key{ uint64_t(aForecast.job_high()) << 32 | aForecast.job_low(),
-                aForecast.step(),
-                aForecast.index() };
-  auto found = mJobs.find(key.mJob);
+  task_key key = KeyOf(aForecast);
+  task* current = CurrentAttempt(aPeer, key, aForecast.attempt());
   auto at = mExecutors.find(aPeer);
-  bool known = found != mJobs.end() && at != mExecutors.end() &&
-               key.mStep < found->second.mTasks.size() &&
-               key.mIndex < found->second.mTasks[key.mStep].size();
-  if (!known) {
-    return;
-  }
-  job& owner = found->second;
-  task& one = TaskOf(owner, key);
-  if (one.mState != task_state::Placed || one.mAt != aPeer ||
-      one.mAttempt != aForecast.attempt()) {
+  if (current == nullptr || at == mExecutors.end()) {
     return;
   }
+  job& owner = mJobs.at(key.mJob);
+  task& one = *current;
   one.mMeasuredMs =
     uint32_t(aForecast.total_ms() / mViews[at->second.mView].mSlowness);
   placement_request request = RequestFor(owner, key, aNow);
@@ -197,27 +222,17 @@
 void
 job_coordinator::OnEnd(peer_id aPeer, const wire::task_end& aEnd, instant aNow)
 {
-  task_key key{ uint64_t(aEnd.job_high()) << 32 | aEnd.job_low(),
-                aEnd.step(),
-                aEnd.index() };
+  task_key key = KeyOf(aEnd);
   auto at = mExecutors.find(aPeer);
   if (at != mExecutors.end()) {
     at->second.mTasks.erase(key);
   }
-  auto found = mJobs.find(key.mJob);
-  bool known = found != mJobs.end() &&
-               key.mStep < found->second.mTasks.size() &&
-               key.mIndex < found->second.mTasks[key.mStep].size();
-  if (!known) {
-    return;
-  }
-  job& owner = found->second;
-  task& one = TaskOf(owner, key);
-  bool current = one.mState == task_state::Placed && one.mAt == aPeer &&
-                 one.mAttempt == aEnd.attempt();
-  if (!current) {
+  task* current = CurrentAttempt(aPeer, key, aEnd.attempt());
+  if (current == nullptr) {
     return;
   }
+  job& owner = mJobs.at(key.mJob);
+  task& one = *current;
   auto outcome = attempt_outcome(aEnd.outcome());
   if (outcome == attempt_outcome::Done) {
     one.mState = task_state::Done;
--- a/cactusmast/job_coordinator_placement.cc
+++ b/cactusmast/job_coordinator_placement.cc
@@ -171,9 +171,6 @@
 void
 job_coordinator::SendOrders(instant aNow)
 {
-  auto toMs = [](duration aSpan) {
-    return std::chrono::duration_cast<milliseconds>(aSpan).count();
-  };
   for (const auto& [place, indexes] : mOrders) {
     auto [peer, id, stepNumber, estimateMs] = place;
     job& owner = mJobs.at(id);
@@ -189,10 +186,10 @@
     order.gpus = uint32_t(step.mSize.mGpus);
     order.estimate_ms = estimateMs;
     order.urgent_in_ms = int32_t(
-      toMs(std::get<0>(WaitingKey(owner, { id, stepNumber, 0 })) - aNow));
+      ToMs(std::get<0>(WaitingKey(owner, { id, stepNumber, 0 })) - aNow));
     order.start_within_ms = kStartWithinMs;
     order.stop_after_ms =
-      uint32_t(std::max<int64_t>(0, toMs(owner.mDeadline - aNow)));
+      uint32_t(std::max<int64_t>(0, ToMs(owner.mDeadline - aNow)));
     task_size size;
     for (uint32_t index : indexes) {
       order.tasks.emplace_back(index, owner.mTasks[stepNumber][index].mAttempt);
@@ -208,7 +205,7 @@
         { "free_cpu_millis",
           std::to_string(mViews[at.mView].mFree.mCpuMillis) },
         { "age_ms",
-          std::to_string(toMs(aNow - mViews[at.mView].mReportedAt)) } });
+          std::to_string(ToMs(aNow - mViews[at.mView].mReportedAt)) } });
     mLinks.Start(peer, std::move(order));
   }
   mOrders.clear();
--- a/cactusmast/latency_histogram.h
+++ b/cactusmast/latency_histogram.h
@@ -7,7 +7,7 @@
 #include <array>
 #include <cstdint>
 
-#include "cactusmast/ids.h"
+#include "cactusmast/time_spans.h"
 
 namespace cactusmast {
 
@@ -22,8 +22,7 @@
 
   void Observe(duration aLatency)
   {
-    auto ms =
-      std::chrono::duration_cast<std::chrono::milliseconds>(aLatency).count();
+    int64_t ms = ToMs(aLatency);
     const auto* bound = std::lower_bound(
       kBoundsMs.begin(), kBoundsMs.end(), uint32_t(std::max<int64_t>(0, ms)));
     mCounts[size_t(bound - kBoundsMs.begin())]++;
--- a/shell/coordinator_daemon.cc
+++ b/shell/coordinator_daemon.cc
@@ -57,14 +57,12 @@
 coordinator_daemon::Create(const coordinator_settings& aSettings,
                            const coordinator_adapter& aAdapter)
 {
-  std::unique_ptr<coordinator_daemon> made(
-    new coordinator_daemon(aSettings, aAdapter));
-  try {
+  return ResultOf<std::unique_ptr<coordinator_daemon>>([&] {
+    std::unique_ptr<coordinator_daemon> made(
+      new coordinator_daemon(aSettings, aAdapter));
     made->Open();
-  } catch (const failure& error) {
-    return error;
-  }
-  return made;
+    return made;
+  });
 }
 
 void
@@ -487,11 +485,9 @@
 coordinator_daemon::ReadSettings() const
 {
   const std::string& file = mInstance.mFile;
-  try {
+  return ResultOf<instance_settings>([&] {
     return ReadCoordinatorSettings(ReadFile(file), file).Value().mInstance;
-  } catch (const failure& error) {
-    return error;
-  }
+  });
 }
 
 void
--- a/shell/daemon_main.h
+++ b/shell/daemon_main.h
@@ -11,6 +11,20 @@
 
 namespace cactusmast {
 
+// Runs aMain; a failure that it throws is told on standard error.
+template<typename Main>
+int
+RunOrReport(Main aMain)
+{
+  try {
+    return aMain();
+  } catch (const failure& error) {
+    std::cerr << error.Step() << " (" << error.Peer() << "): " << error.what()
+              << "\n";
+    return 2;
+  }
+}
+
 // Exit codes: 0 after a complete planned stop, 1 when it was cut short, 2 for
 // bad settings or an address that cannot be used.
 template<typename Daemon, typename Settings>
@@ -22,7 +36,7 @@
 {
   auto arguments =
     docopt::docopt(aUsage, { aArguments + 1, aArguments + aCount }, true, "");
-  try {
+  return RunOrReport([&] {
     std::string file = arguments["--settings"].asString();
     Settings settings = aRead(ReadFile(file), file).Value();
     if (arguments["--check"].asBool()) {
@@ -30,11 +44,7 @@
     }
     auto daemon = std::move(Daemon::Create(settings).Value());
     return daemon->Run(settings.mProcess.mDrainTimeoutMs);
-  } catch (const failure& error) {
-    std::cerr << error.Step() << " (" << error.Peer() << "): " << error.what()
-              << "\n";
-    return 2;
-  }
+  });
 }
 
 } // namespace cactusmast
--- a/shell/entry_daemon.cc
+++ b/shell/entry_daemon.cc
@@ -62,13 +62,11 @@
 result<std::unique_ptr<entry_daemon>>
 entry_daemon::Create(const entry_settings& aSettings)
 {
-  std::unique_ptr<entry_daemon> made(new entry_daemon(aSettings));
-  try {
+  return ResultOf<std::unique_ptr<entry_daemon>>([&] {
+    std::unique_ptr<entry_daemon> made(new entry_daemon(aSettings));
     made->Open();
-  } catch (const failure& error) {
-    return error;
-  }
-  return made;
+    return made;
+  });
 }
 
 void
--- a/shell/executor_daemon.cc
+++ b/shell/executor_daemon.cc
@@ -29,14 +29,12 @@
 executor_daemon::Create(const executor_settings& aSettings,
                         const executor_adapter& aAdapter)
 {
-  std::unique_ptr<executor_daemon> made(
-    new executor_daemon(aSettings, aAdapter));
-  try {
+  return ResultOf<std::unique_ptr<executor_daemon>>([&] {
+    std::unique_ptr<executor_daemon> made(
+      new executor_daemon(aSettings, aAdapter));
     made->Open();
-  } catch (const failure& error) {
-    return error;
-  }
-  return made;
+    return made;
+  });
 }
 
 void
@@ -180,11 +178,9 @@
 executor_daemon::ReadSettings() const
 {
   const std::string& file = mInstance.mFile;
-  try {
+  return ResultOf<instance_settings>([&] {
     return ReadExecutorSettings(ReadFile(file), file).Value().mInstance;
-  } catch (const failure& error) {
-    return error;
-  }
+  });
 }
 
 void
--- a/shell/guard_daemon.cc
+++ b/shell/guard_daemon.cc
@@ -84,13 +84,11 @@
 result<std::unique_ptr<guard_daemon>>
 guard_daemon::Create(const guard_settings& aSettings)
 {
-  std::unique_ptr<guard_daemon> made(new guard_daemon(aSettings));
-  try {
+  return ResultOf<std::unique_ptr<guard_daemon>>([&] {
+    std::unique_ptr<guard_daemon> made(new guard_daemon(aSettings));
     made->Open();
-  } catch (const failure& error) {
-    return error;
-  }
-  return made;
+    return made;
+  });
 }
 
 void
--- a/shell/peer_transport.cc
+++ b/shell/peer_transport.cc
@@ -77,14 +77,12 @@
                        transport_listener& aListener,
                        event_sink& aEvents)
 {
-  std::unique_ptr<peer_transport> made(
-    new peer_transport(std::move(aOptions), aListener, aEvents));
-  try {
+  return ResultOf<std::unique_ptr<peer_transport>>([&] {
+    std::unique_ptr<peer_transport> made(
+      new peer_transport(std::move(aOptions), aListener, aEvents));
     made->Listen();
-  } catch (const failure& error) {
-    return error;
-  }
-  return made;
+    return made;
+  });
 }
 
 void
--- a/util/result.h
+++ b/util/result.h
@@ -43,6 +43,18 @@
   std::variant<T, failure> mState;
 };
 
+// What aMake returns, or the failure that it throws.
+template<typename T, typename Make>
+result<T>
+ResultOf(Make aMake)
+{
+  try {
+    return aMake();
+  } catch (const failure& error) {
+    return error;
+  }
+}
+
 } // namespace cactusmast
 
 #endif // UTIL_RESULT_H_
