--- a/cactusmast/job_coordinator.cc
+++ b/cactusmast/job_coordinator.cc
@@ -53,20 +53,38 @@
     mCallerJobs[aRequest.mCaller] = aRequest.mJob;
     return;
   }
-  const route& way = *aRequest.mRoute;
+  if (RefuseImpossible(aRequest)) {
+    return;
+  }
+  Admit(aRequest, aNow);
+  PlaceWaiting(aNow);
+}
+
+bool
+job_coordinator::RefuseImpossible(const job_request& aRequest)
+{
+  const std::string& service = aRequest.mRoute->mService;
   for (const job_step& step : aRequest.mSubmission.mSteps) {
-    if (CanNeverRun(mViews, way.mService, step)) {
-      job_outcome never{ job_ending::Failed, "no backend server can hold it" };
-      mCounters.mFailed++;
-      mEvents.Emit(event_code::JobRefused,
-                   { { "job", JobText(aRequest.mJob) },
-                     { "reason", never.mReason },
-                     { "cpu_millis", std::to_string(step.mSize.mCpuMillis) },
-                     { "servers", std::to_string(mViews.size()) } });
-      mAnswers.Answer(aRequest.mCaller, never);
-      return;
+    if (!CanNeverRun(mViews, service, step)) {
+      continue;
     }
+    job_outcome never{ job_ending::Failed, "no backend server can hold it" };
+    mCounters.mFailed++;
+    mEvents.Emit(event_code::JobRefused,
+                 { { "job", JobText(aRequest.mJob) },
+                   { "reason", never.mReason },
+                   { "cpu_millis", std::to_string(step.mSize.mCpuMillis) },
+                   { "servers", std::to_string(mViews.size()) } });
+    mAnswers.Answer(aRequest.mCaller, never);
+    return true;
   }
+  return false;
+}
+
+void
+job_coordinator::Admit(job_request& aRequest, instant aNow)
+{
+  const route& way = *aRequest.mRoute;
   mCounters.mAccepted++;
   job& made = mJobs[aRequest.mJob];
   made.mId = aRequest.mJob;
@@ -82,8 +100,7 @@
   }
   made.mDeadline = aNow + milliseconds(waitMs) - kAnswerMargin;
   uint32_t longest = 0;
-  for (size_t s = 0; s < made.mSubmission.mSteps.size(); s++) {
-    const job_step& step = made.mSubmission.mSteps[s];
+  for (const job_step& step : made.mSubmission.mSteps) {
     longest = std::max(longest, step.mEstimateMs);
     made.mTasks.emplace_back(step.mCount);
     made.mLeft += step.mCount;
@@ -105,7 +122,6 @@
       { "tasks", std::to_string(made.mLeft) },
       { "estimate_ms", std::to_string(longest) },
       { "wait_ms", std::to_string(waitMs) } });
-  PlaceWaiting(aNow);
 }
 
 void
--- a/cactusmast/job_coordinator.h
+++ b/cactusmast/job_coordinator.h
@@ -180,6 +180,9 @@
   // the priority.
   using waiting_key = std::tuple<instant, uint32_t, task_key>;
 
+  // True when it was answered: no backend server can ever hold it.
+  bool RefuseImpossible(const job_request& aRequest);
+  void Admit(job_request& aRequest, instant aNow);
   void Enqueue(const job& aJob, const task_key& aKey);
   waiting_key WaitingKey(const job& aJob, const task_key& aKey) const;
   task& TaskOf(job& aJob, const task_key& aKey);
--- a/cactusmast/task_executor.cc
+++ b/cactusmast/task_executor.cc
@@ -1,6 +1,7 @@
 #include "cactusmast/task_executor.h"
 
 #include <algorithm>
+#include <optional>
 
 #include "cactusmast/task_executor_limits.h"
 #include "cactusmast/time_spans.h"
@@ -424,9 +425,35 @@
   SendReports(aNow);
 }
 
+wire::server_report_msg
+task_executor::DescribeServer(instant aNow) const
+{
+  wire::server_report_msg said;
+  said.state = uint8_t(State(aNow));
+  said.service = mService;
+  said.cpu_millis = uint32_t(mServer.mCapacity.mCpuMillis);
+  said.memory_mb = uint32_t(mServer.mCapacity.mMemoryMb);
+  said.gpus = uint32_t(mServer.mCapacity.mGpus);
+  said.free_cpu_millis = mStrays ? 0 : int32_t(mFree.mCpuMillis);
+  said.free_memory_mb = int32_t(mFree.mMemoryMb);
+  said.free_gpus = int32_t(mFree.mGpus);
+  uint64_t queued = 0;
+  for (const auto& [urgent, key] : mQueue) {
+    queued += uint64_t(mTasks.at(key).mSize.mCpuMillis);
+  }
+  said.queued_cpu_millis = uint32_t(queued);
+  said.running = uint32_t(Running());
+  said.room_in_ms = uint32_t(ToMs(ExpectedStart(OrdinarySize(), aNow) - aNow));
+  said.mean_run_ms = uint32_t(mMeanRunMs);
+  said.slowness_permille = uint32_t(Slowness() * 1000);
+  said.labels = mServer.mLabels;
+  return said;
+}
+
 void
 task_executor::SendReports(instant aNow)
 {
+  std::optional<wire::server_report_msg> said; // the same for all entries
   for (auto& [peer, entry] : mEntries) {
     duration since = aNow - entry.mReportedAt;
     bool due = !entry.mEnds.empty() || !entry.mTooSlow.empty() ||
@@ -435,34 +462,17 @@
     if (!due) {
       continue;
     }
-    wire::server_report_msg said;
-    said.ends = std::move(entry.mEnds);
+    if (!said) {
+      said = DescribeServer(aNow);
+    }
+    said->ends = std::move(entry.mEnds);
     entry.mEnds.clear();
-    said.too_slow = std::move(entry.mTooSlow);
+    said->too_slow = std::move(entry.mTooSlow);
     entry.mTooSlow.clear();
-    said.last_offer = entry.mLastOffer;
-    said.state = uint8_t(State(aNow));
-    said.service = mService;
-    said.cpu_millis = uint32_t(mServer.mCapacity.mCpuMillis);
-    said.memory_mb = uint32_t(mServer.mCapacity.mMemoryMb);
-    said.gpus = uint32_t(mServer.mCapacity.mGpus);
-    said.free_cpu_millis = mStrays ? 0 : int32_t(mFree.mCpuMillis);
-    said.free_memory_mb = int32_t(mFree.mMemoryMb);
-    said.free_gpus = int32_t(mFree.mGpus);
-    uint64_t queued = 0;
-    for (const auto& [urgent, key] : mQueue) {
-      queued += uint64_t(mTasks.at(key).mSize.mCpuMillis);
-    }
-    said.queued_cpu_millis = uint32_t(queued);
-    said.running = uint32_t(Running());
-    said.room_in_ms =
-      uint32_t(ToMs(ExpectedStart(OrdinarySize(), aNow) - aNow));
-    said.mean_run_ms = uint32_t(mMeanRunMs);
-    said.slowness_permille = uint32_t(Slowness() * 1000);
-    said.labels = mServer.mLabels;
+    said->last_offer = entry.mLastOffer;
     entry.mReportedAt = aNow;
     entry.mChanged = false;
-    mLinks.Report(peer, said);
+    mLinks.Report(peer, *said);
   }
 }
 
--- a/cactusmast/task_executor.h
+++ b/cactusmast/task_executor.h
@@ -190,6 +190,8 @@
   void End(const task_key& aKey, attempt_outcome aOutcome, instant aNow);
   void EndAllOrdered(attempt_outcome aOutcome, instant aNow);
   void ReturnQueued(attempt_outcome aOutcome, instant aNow);
+  // True when the backend server is set aside for a while.
+  bool NoteFailure(instant aNow);
   void Learn(const task& aTask, attempt_outcome aOutcome, instant aNow);
   void ApplyEnds(const server_snapshot& aSeen, instant aNow);
   void ApplyRunning(const server_snapshot& aSeen, instant aSent, instant aNow);
@@ -200,6 +202,8 @@
   bool LookIsDue(instant aNow) const;
   void NoticeSilence(instant aNow);
   void NoticeLapse(instant aNow);
+  // A report without what is the receiving entry's alone.
+  wire::server_report_msg DescribeServer(instant aNow) const;
   void SendReports(instant aNow);
   int64_t LeaseUntil(instant aNow);
   void MarkChanged();
--- a/cactusmast/task_executor_looks.cc
+++ b/cactusmast/task_executor_looks.cc
@@ -230,16 +230,25 @@
   }
 }
 
+bool
+task_executor::NoteFailure(instant aNow)
+{
+  mFailuresInRow++;
+  if (mFailuresInRow < kFailuresToIll) {
+    return false;
+  }
+  mIllUntil = aNow + kIllTime;
+  mEvents.Emit(event_code::WorkerSetAside,
+               { { "server", mServer.mId },
+                 { "failures_in_row", std::to_string(mFailuresInRow) } });
+  return true;
+}
+
 void
 task_executor::Learn(const task& aTask, attempt_outcome aOutcome, instant aNow)
 {
   if (aOutcome == attempt_outcome::Failed) {
-    mFailuresInRow++;
-    if (mFailuresInRow >= kFailuresToIll) {
-      mIllUntil = aNow + kIllTime;
-      mEvents.Emit(event_code::WorkerSetAside,
-                   { { "server", mServer.mId },
-                     { "failures_in_row", std::to_string(mFailuresInRow) } });
+    if (NoteFailure(aNow)) {
       ReturnQueued(attempt_outcome::Unusable, aNow);
     }
     return;
@@ -249,7 +258,9 @@
   }
   mFailuresInRow = 0;
   auto ranMs = double(ToMs(aNow - aTask.mOrderedAt));
-  mMeanRunMs = mMeanRunMs == 0 ? ranMs : 0.9 * mMeanRunMs + 0.1 * ranMs;
+  mMeanRunMs = mMeanRunMs == 0
+                 ? ranMs
+                 : kLearnDecay * mMeanRunMs + (1 - kLearnDecay) * ranMs;
   mRunMs = mRunMs * kLearnDecay + ranMs;
   mEstimateMs = mEstimateMs * kLearnDecay + double(aTask.mEstimateMs);
 }
--- a/cactusmast/task_executor_orders.cc
+++ b/cactusmast/task_executor_orders.cc
@@ -124,10 +124,7 @@
     case start_result::Unhealthy:
     case start_result::OtherBoot:
     case start_result::Unreachable:
-      mFailuresInRow++;
-      if (mFailuresInRow >= kFailuresToIll) {
-        mIllUntil = aNow + kIllTime;
-      }
+      NoteFailure(aNow);
       GiveUpStart(one, attempt_outcome::Unusable, aNow);
       return;
     case start_result::Malformed:
