Start nothing for callers and entries that left; reach restarted entries sooner

Its caller had closed the connection and sent the job to another entry, so two of its tasks ran on two backend servers for 7 and 10 ms. The log shows the second entry's acceptance at 11.928 s with 677 ms of the caller's time left, and starts for another entry at 11.922 s; that other entry's lines were over its budget and dropped.

Change: the socket is asked before a job is placed. An executor starts what was ordered only after all that arrived is read, so that an order with its withdrawal behind it starts nothing. Tests for both fail without the change.

Entries no longer pulse executors that just got an order.

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,8 @@
 
 CORE_SOURCES := $(wildcard cactusmast/*.cc)
 SHELL_SOURCES := $(wildcard shell/*.cc)
-TEST_SOURCES := $(wildcard cactusmast/testing/*.cc platform/testing/*.cc)
+TEST_SOURCES := $(wildcard cactusmast/testing/*.cc platform/testing/*.cc \
+  shell/testing/*.cc)
 PLATFORM_SOURCES := $(filter-out %_main.cc,$(wildcard platform/*.cc))
 BENCH_SOURCES := $(wildcard bench/*_bench.cc)
 
@@ -96,7 +97,7 @@
 OWN_SOURCES := $(wildcard cactusmast/*.cc \
   cactusmast/*.h cactusmast/testing/*.cc cactusmast/testing/*.h shell/*.cc \
   shell/*.h util/*.h cmd/*.cc platform/*.cc \
-  platform/*.h platform/testing/*.cc standins/*.cc bench/*.cc bench/*.h fuzz/*.cc)
+  platform/*.h platform/testing/*.cc shell/testing/*.cc standins/*.cc bench/*.cc bench/*.h fuzz/*.cc)
 
 format:
 	@clang-format -i $(OWN_SOURCES)
--- a/cactusmast/entry_directory.cc
+++ b/cactusmast/entry_directory.cc
@@ -11,6 +11,11 @@
 // dials decides how much later its executors serve it.
 constexpr duration kFirstPause = milliseconds(100);
 constexpr duration kLongestPause = milliseconds(400);
+// One that was there a short while ago is probably being restarted: all entries
+// that lose power at once come back 0.3 to 3 s later, and until an executor
+// reaches them their callers are turned away.
+constexpr duration kLongestPauseAtFirst = milliseconds(100);
+constexpr duration kRestartTime = std::chrono::seconds(8);
 constexpr duration kForgetAfter = std::chrono::seconds(60);
 
 } // namespace
@@ -79,7 +84,9 @@
     if (!one.mUp && aNow >= one.mNextDial) {
       due.push_back(at->first);
       one.mNextDial = aNow + one.mPause;
-      one.mPause = std::min(kLongestPause, one.mPause * 2);
+      bool restarting = aNow - one.mSince < kRestartTime;
+      one.mPause = std::min(restarting ? kLongestPauseAtFirst : kLongestPause,
+                            one.mPause * 2);
     }
     ++at;
   }
--- a/cactusmast/task_executor.cc
+++ b/cactusmast/task_executor.cc
@@ -105,7 +105,10 @@
   for (const wire::task_attempt& attempt : aOrder.tasks) {
     Accept(aEntry, aOrder, attempt, spec, aNow);
   }
-  StartWhatFits(aNow);
+  // Started by the next tick, which comes once all that has arrived is read. A
+  // process that stood still finds the order, its withdrawal and the end of the
+  // connection in one go; starting at once would run tasks whose job runs
+  // elsewhere by now.
   MarkChanged();
 }
 
--- a/cactusmast/testing/task_executor_test.cc
+++ b/cactusmast/testing/task_executor_test.cc
@@ -38,10 +38,10 @@
   std::vector<attempt_outcome> mOutcomes;
 };
 
-// An executor whose backend server is known, with one task ordered from it.
-struct started_task
+// An executor whose backend server is known.
+struct known_server
 {
-  started_task()
+  known_server()
     : mExecutor(1, "s", mLinks, mRunner, mEvents)
   {
     mExecutor.OnEntryUp(1, "entry", mNow);
@@ -54,6 +54,11 @@
     mExecutor.OnAnnouncement(said, mNow);
     mExecutor.Tick(mNow);
     Look({}, {});
+  }
+
+  // One task, ordered by the entry.
+  void Order()
+  {
     wire::start_tasks_msg order;
     order.offer = 1;
     order.job = 7;
@@ -63,7 +68,6 @@
     order.stop_after_ms = 1500;
     order.tasks.emplace_back(0, 1);
     mExecutor.OnStartTasks(1, order, mNow);
-    REQUIRE(mRunner.mStarts.size() == 1);
   }
 
   void Answer(start_result aResult)
@@ -99,6 +103,17 @@
   task_executor mExecutor;
 };
 
+// With one task started there.
+struct started_task : known_server
+{
+  started_task()
+  {
+    Order();
+    mExecutor.Tick(mNow);
+    REQUIRE(mRunner.mStarts.size() == 1);
+  }
+};
+
 const start_result kNotStarted[] = { start_result::Unreachable,
                                      start_result::Unhealthy,
                                      start_result::OtherBoot,
@@ -107,6 +122,28 @@
 
 } // namespace
 
+TEST_CASE("an order that is read together with its withdrawal starts nothing")
+{
+  // An executor stands still for two seconds. Meanwhile its entry gives the
+  // job up and the caller sends it again elsewhere. When the executor wakes it
+  // reads the old order and right behind it the withdrawal; if it started the
+  // task in between, it would run on two backend servers at a time.
+  known_server withdrawn;
+  withdrawn.Order();
+  wire::stop_tasks_msg stop;
+  stop.job = 7;
+  stop.indexes.push_back(0);
+  withdrawn.mExecutor.OnStopTasks(1, stop, withdrawn.mNow);
+  withdrawn.Pass(milliseconds(1));
+  CHECK(withdrawn.mRunner.mStarts.empty());
+
+  known_server closed;
+  closed.Order();
+  closed.mExecutor.OnEntryDown(1, closed.mNow);
+  closed.Pass(milliseconds(1));
+  CHECK(closed.mRunner.mStarts.empty());
+}
+
 TEST_CASE("a refused start never started, if it was the only order")
 {
   for (start_result result : kNotStarted) {
--- a/shell/coordinator_daemon.cc
+++ b/shell/coordinator_daemon.cc
@@ -24,6 +24,7 @@
 // The balancer is done by then. A job whose tasks would outlast the time of the
 // planned stop is refused earlier.
 constexpr duration kAcceptWhileDraining = milliseconds(4000);
+constexpr int kUnavailable = 503;
 // Headers and body before a configuration is known.
 constexpr size_t kMaxBody = 1u << 20;
 
@@ -207,6 +208,15 @@
   const route& aRoute,
   uint64_t aJob)
 {
+  if (aExchange.ClientLeft()) {
+    // Seconds may have passed since it was sent, and the caller sends its job
+    // again 1300 ms after it closed: its tasks would run twice at a time.
+    mLog.Emit(event_code::JobCancelled,
+              { { "job", JobText(aJob) },
+                { "reason", "its caller left before it was read" } });
+    Reply(aExchange.Id(), kUnavailable, "{}");
+    return;
+  }
   if (aExchange.Body().size() > aTable->Config().mMaxBodyBytes) {
     Refuse(aExchange.Id(),
            failure(error_code::TooLarge, "read request", "caller", "body"));
@@ -276,13 +286,13 @@
 void
 coordinator_daemon::Start(peer_id aExecutor, wire::start_tasks_msg aOrder)
 {
-  mTransport->Send(aExecutor, MakeMessage(std::move(aOrder)));
+  SendToExecutor(aExecutor, MakeMessage(std::move(aOrder)));
 }
 
 void
 coordinator_daemon::Stop(peer_id aExecutor, wire::stop_tasks_msg aOrder)
 {
-  mTransport->Send(aExecutor, MakeMessage(std::move(aOrder)));
+  SendToExecutor(aExecutor, MakeMessage(std::move(aOrder)));
 }
 
 void
@@ -306,7 +316,7 @@
               { "role", std::string(Name(aIdentity.mRole)) },
               { "incarnation", std::to_string(aIdentity.mIncarnation) } });
   if (aIdentity.mRole == process_role::Guard) {
-    mExecutorPeers[aPeer] = 0;
+    mExecutorPeers[aPeer] = {};
     mCoordinator.OnExecutorUp(aPeer, aIdentity, Now());
   } else {
     entry_peer& added = mEntryPeers[aPeer];
@@ -421,23 +431,46 @@
                          });
 }
 
+void
+coordinator_daemon::SendToExecutor(peer_id aExecutor, message aMessage)
+{
+  auto found = mExecutorPeers.find(aExecutor);
+  if (found != mExecutorPeers.end()) {
+    found->second.mSentAt = Now();
+  }
+  mTransport->Send(aExecutor, std::move(aMessage));
+}
+
+// An order shows as well as a pulse that this entry lives, so executors that
+// get some are spared the pulses.
+void
+coordinator_daemon::PulseExecutors(instant aNow)
+{
+  for (auto& [peer, at] : mExecutorPeers) {
+    bool news = at.mToldRevision != mDirectory.Revision();
+    if (!news && aNow - at.mSentAt < kPulseInterval) {
+      continue;
+    }
+    wire::entry_pulse_msg pulse;
+    pulse.config_version = mConfig.Version();
+    if (news) {
+      pulse.entries = mDirectory.Live();
+      at.mToldRevision = mDirectory.Revision();
+    }
+    SendToExecutor(peer, MakeMessage(std::move(pulse)));
+  }
+}
+
 void
 coordinator_daemon::SendPulses(instant aNow)
 {
+  PulseExecutors(aNow);
   if (aNow < mNextPulse) {
     return;
   }
   mNextPulse = aNow + kPulseInterval;
   wire::entry_pulse_msg pulse;
   pulse.config_version = mConfig.Version();
-  for (auto& [peer, told] : mExecutorPeers) {
-    pulse.entries.clear();
-    if (told != mDirectory.Revision()) {
-      pulse.entries = mDirectory.Live();
-      told = mDirectory.Revision();
-    }
-    mTransport->Send(peer, MakeMessage(pulse));
-  }
   pulse.entries = mDirectory.Live();
   for (auto& [peer, at] : mEntryPeers) {
     mTransport->Send(peer, MakeMessage(pulse));
--- a/shell/coordinator_daemon.h
+++ b/shell/coordinator_daemon.h
@@ -88,6 +88,8 @@
   void OnEntryRow(const watched_row& aRow);
   void AnnounceSelf(instant aNow);
   void SendPulses(instant aNow);
+  void PulseExecutors(instant aNow);
+  void SendToExecutor(peer_id aExecutor, message aMessage);
   void SendConfigTo(peer_id aPeer, entry_peer& aAt, instant aNow);
   void DropSilentEntries(instant aNow);
 
@@ -101,7 +103,13 @@
   std::unique_ptr<http_server> mFront;
   std::unique_ptr<http_server> mReadiness;
   std::map<peer_id, entry_peer> mEntryPeers;
-  std::map<peer_id, uint64_t> mExecutorPeers; // directory revision told
+  struct executor_peer
+  {
+    uint64_t mToldRevision = 0; // of the directory
+    instant mSentAt{};          // when it was last shown that this entry lives
+  };
+
+  std::map<peer_id, executor_peer> mExecutorPeers;
   instant mNextPulse{};
   bool mAnnounced = false;
   bool mAnnouncing = false;
--- a/shell/http_server.cc
+++ b/shell/http_server.cc
@@ -1,5 +1,8 @@
 #include "shell/http_server.h"
 
+#include <cerrno>
+#include <sys/socket.h>
+
 #include "cactusmast/api_json.h"
 #include "shell/peer_transport.h"
 
@@ -89,6 +92,20 @@
   return found == mQuery.end() ? "" : found->second;
 }
 
+bool
+http_exchange::ClientLeft() const
+{
+  GSocket* socket = soup_server_message_get_socket(mMessage.get());
+  if (socket == nullptr) {
+    return true;
+  }
+  char next = 0;
+  ssize_t count =
+    recv(g_socket_get_fd(socket), &next, 1, MSG_PEEK | MSG_DONTWAIT);
+  bool open = count > 0 || (count < 0 && (errno == EAGAIN || errno == EINTR));
+  return !open;
+}
+
 uint32_t
 http_exchange::QueryNumber(const char* aName,
                            uint32_t aDefault,
--- a/shell/http_server.h
+++ b/shell/http_server.h
@@ -39,6 +39,10 @@
   // Empty when absent.
   std::string Header(const char* aName) const;
   std::string Query(const char* aName) const;
+  // Whether the client has closed the connection. Asks the socket: a process
+  // that stood still or fell behind reads requests whose clients left long ago,
+  // and the library tells of that only when it reads on.
+  bool ClientLeft() const;
   // A whole number from the query, or aDefault; values that are no number or
   // over aMax count as aMax.
   uint32_t QueryNumber(const char* aName,
--- a/shell/instance_daemon.cc
+++ b/shell/instance_daemon.cc
@@ -5,11 +5,14 @@
 namespace cactusmast {
 namespace {
 
-// A handshake is four messages of under 15 ms each way. An address that does
-// not answer within this time is dialled anew: TCP repeats a lost first packet
-// only after a second, in which an entry that has just come back would be
-// without executors.
+// A handshake is four messages of under 15 ms each way, and the other process
+// may be short of processor time.
 constexpr uint32_t kHandshakeLimitMs = 350;
+// The other machine's kernel accepts a connection after one round trip, at most
+// 30 ms. An address that does not is dialled anew: TCP repeats a lost first
+// packet only after a second, in which an entry that has just come back would
+// be without executors.
+constexpr uint32_t kConnectLimitMs = 100;
 // What a planned stop keeps back for the last answers to leave.
 constexpr uint32_t kStopMarginMs = 600;
 // Settings change a few times a day at most.
@@ -52,6 +55,7 @@
   transport.mMaxFrame = kMaxFrame;
   transport.mMaxSend = kMaxSend;
   transport.mHandshakeLimitMs = kHandshakeLimitMs;
+  transport.mConnectLimitMs = kConnectLimitMs;
   transport.mSelf.mRole = mRole;
   transport.mSelf.mName = mInstance.mName;
   transport.mSelf.mIncarnation = mIncarnation;
--- a/shell/peer_transport.cc
+++ b/shell/peer_transport.cc
@@ -11,7 +11,7 @@
 namespace cactusmast {
 namespace {
 
-constexpr gint64 kSweepIntervalUs = G_USEC_PER_SEC / 4;
+constexpr gint64 kSweepIntervalUs = G_USEC_PER_SEC / 20;
 constexpr size_t kReadChunk = 256u << 10;
 constexpr size_t kMaxGreetingFrame = 4096;
 constexpr int kMaxReadsPerTurn = 8;
@@ -532,10 +532,11 @@
   mNextSweep = now + kSweepIntervalUs;
   for (auto entry = mLinks.begin(); entry != mLinks.end();) {
     link& checked = *entry->second;
-    bool greeting = checked.mState == link_state::Connecting ||
-                    checked.mState == link_state::Greeting;
-    if (greeting &&
-        now - checked.mSince > gint64(mOptions.mHandshakeLimitMs) * 1000) {
+    bool connecting = checked.mState == link_state::Connecting;
+    bool greeting = connecting || checked.mState == link_state::Greeting;
+    uint32_t limitMs =
+      connecting ? mOptions.mConnectLimitMs : mOptions.mHandshakeLimitMs;
+    if (greeting && now - checked.mSince > gint64(limitMs) * 1000) {
       Shut(checked, false);
     }
     entry = checked.mState == link_state::Closed ? mLinks.erase(entry)
--- a/shell/peer_transport.h
+++ b/shell/peer_transport.h
@@ -34,6 +34,9 @@
   size_t mMaxSend = 32u << 20;
   // From dialling or accepting to the proof of identity.
   uint32_t mHandshakeLimitMs = 3000;
+  // Until the other machine accepts the connection, which its kernel does
+  // without the process.
+  uint32_t mConnectLimitMs = 3000;
 };
 
 struct transport_counters
--- /dev/null
+++ b/shell/testing/http_server_test.cc
@@ -0,0 +1,90 @@
+// What the HTTP server knows of a client that leaves.
+
+#include <arpa/inet.h>
+#include <doctest/doctest.h>
+#include <functional>
+#include <glib.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "shell/http_server.h"
+
+namespace cactusmast {
+namespace {
+
+constexpr char kRequest[] =
+  "POST /job HTTP/1.1\r\nHost: a.example\r\nContent-Length: 2\r\n\r\n{}";
+
+// A server on a free port of the loopback interface.
+std::unique_ptr<http_server>
+Serve(http_server::handler aHandler, uint16_t* aPort)
+{
+  for (uint16_t i = 0; i < 50; i++) {
+    *aPort = uint16_t(21000 + (getpid() * 11 + i * 317) % 20000);
+    result<std::unique_ptr<http_server>> made = http_server::Create(
+      "127.0.0.1:" + std::to_string(*aPort), 1024, aHandler, [](uint64_t) {});
+    if (made.Ok()) {
+      return std::move(made.Value());
+    }
+  }
+  FAIL("no free port");
+  return nullptr;
+}
+
+// A connection over which the request was sent.
+int
+SendRequest(uint16_t aPort)
+{
+  int fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in to{};
+  to.sin_family = AF_INET;
+  to.sin_port = htons(aPort);
+  to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  REQUIRE(connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to) == 0);
+  REQUIRE(write(fd, kRequest, sizeof kRequest - 1) ==
+          ssize_t(sizeof kRequest - 1));
+  return fd;
+}
+
+void
+TurnUntil(const bool& aDone)
+{
+  gint64 end = g_get_monotonic_time() + 5 * G_USEC_PER_SEC;
+  while (!aDone && g_get_monotonic_time() < end) {
+    if (!g_main_context_iteration(nullptr, FALSE)) {
+      g_usleep(200);
+    }
+  }
+  REQUIRE(aDone);
+}
+
+} // namespace
+
+TEST_CASE("a request whose client has left is told from one that waits")
+{
+  // A process stands still while requests arrive. Their clients give up, close
+  // their connections and send the requests elsewhere. The process wakes and
+  // reads them; if it took them for live ones, a user's order would run twice.
+  uint16_t port = 0;
+  bool handled = false;
+  bool left = false;
+  std::unique_ptr<http_server> server = Serve(
+    [&](http_exchange& aOne) {
+      left = aOne.ClientLeft();
+      handled = true;
+    },
+    &port);
+
+  int waiting = SendRequest(port);
+  TurnUntil(handled);
+  CHECK_FALSE(left);
+  close(waiting);
+
+  handled = false;
+  close(SendRequest(port));
+  TurnUntil(handled);
+  CHECK(left);
+}
+
+} // namespace cactusmast
