Keep part of the log's budget for the endings of jobs

Change: at most 350 of the 600 lines tell of steps. The test, 250 jobs in one second with seven lines each, finds all 250 endings; with one budget for all it would find the endings of the first 85.

--- a/shell/log_sink.cc
+++ b/shell/log_sink.cc
@@ -16,6 +16,10 @@
 
 // An entry with 100 jobs a second writes about 400 lines: four to a job.
 constexpr uint32_t kLinesPerSecond = 600;
+// Of these, lines that tell how a job got to its ending. Several come for each
+// job, so under load they would use up the budget before the endings came, and
+// a job that went wrong could not be found at all.
+constexpr uint32_t kStepLinesPerSecond = 350;
 
 uint64_t gUnwritten = 0; // lines that the stream did not take
 
@@ -103,6 +107,13 @@
   AppendText(aValue, aOut);
 }
 
+bool
+IsStepOfJob(event_code aCode)
+{
+  return aCode == event_code::JobAccepted || aCode == event_code::TasksPlaced ||
+         aCode == event_code::AttemptEnded;
+}
+
 } // namespace
 
 std::string
@@ -134,12 +145,13 @@
 }
 
 bool
-log_sink::WithinBudget(int64_t aNowMs, severity aSeverity)
+log_sink::WithinBudget(int64_t aNowMs, const event_row& aRow)
 {
   int64_t second = aNowMs / 1000;
   if (second != mSecond) {
     mSecond = second;
     mLinesInSecond = 0;
+    mStepLinesInSecond = 0;
     uint64_t dropped = mDropped + gUnwritten;
     if (dropped > 0) {
       mDropped = 0;
@@ -149,11 +161,18 @@
             { { "lines", std::to_string(dropped) } });
     }
   }
-  mLinesInSecond++;
-  if (mLinesInSecond > kLinesPerSecond && aSeverity != severity::Error) {
+  if (aRow.mSeverity == severity::Error) {
+    return true;
+  }
+  bool step = IsStepOfJob(aRow.mCode);
+  bool over = mLinesInSecond >= kLinesPerSecond ||
+              (step && mStepLinesInSecond >= kStepLinesPerSecond);
+  if (over) {
     mDropped++;
     return false;
   }
+  mLinesInSecond++;
+  mStepLinesInSecond += step ? 1 : 0;
   return true;
 }
 
@@ -165,7 +184,7 @@
     return;
   }
   int64_t now = WallMilliseconds();
-  if (WithinBudget(now, row.mSeverity)) {
+  if (WithinBudget(now, row)) {
     Write(row, now, aFields);
   }
 }
--- a/shell/log_sink.h
+++ b/shell/log_sink.h
@@ -1,7 +1,8 @@
 // Structured logs: one JSON object a line, by Boost.Log.
 //
 // Writing never blocks: what the reader of the stream does not take at once is
-// dropped, and so are lines below Error beyond kLinesPerSecond. The number of
+// dropped, and so are lines below Error beyond kLinesPerSecond, a part of which
+// is kept for others than the steps of jobs. The number of
 // dropped lines is logged once a second while there are any.
 
 #ifndef SHELL_LOG_SINK_H_
@@ -39,7 +40,7 @@
   void Emit(event_code aCode, std::vector<event_field> aFields) override;
 
 private:
-  bool WithinBudget(int64_t aNowMs, severity aSeverity);
+  bool WithinBudget(int64_t aNowMs, const event_row& aRow);
   void Write(const event_row& aRow,
              int64_t aNowMs,
              const std::vector<event_field>& aFields);
@@ -48,6 +49,7 @@
   severity mLeast;
   int64_t mSecond = 0;
   uint32_t mLinesInSecond = 0;
+  uint32_t mStepLinesInSecond = 0;
   uint64_t mDropped = 0;
 };
 
--- /dev/null
+++ b/shell/testing/log_sink_test.cc
@@ -0,0 +1,81 @@
+#include "shell/log_sink.h"
+
+#include <cstdio>
+#include <doctest/doctest.h>
+#include <fcntl.h>
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+namespace cactusmast {
+namespace {
+
+// Counts the lines that contain aText and were written to standard error
+// while aWrite ran.
+size_t
+LinesWith(const std::string& aText, const std::function<void()>& aWrite)
+{
+  char path[] = "/tmp/cactusmast-log-XXXXXX";
+  int file = mkstemp(path);
+  int saved = dup(STDERR_FILENO);
+  dup2(file, STDERR_FILENO);
+  aWrite();
+  dup2(saved, STDERR_FILENO);
+  close(saved);
+  lseek(file, 0, SEEK_SET);
+  std::string all;
+  char chunk[4096];
+  for (ssize_t n = 0; (n = read(file, chunk, sizeof chunk)) > 0;) {
+    all.append(chunk, size_t(n));
+  }
+  close(file);
+  unlink(path);
+  size_t count = 0;
+  for (size_t at = all.find(aText); at != std::string::npos;
+       at = all.find(aText, at + 1)) {
+    count++;
+  }
+  return count;
+}
+
+} // namespace
+
+TEST_CASE("a line is one JSON object, whatever its fields hold")
+{
+  const std::string values[] = {
+    "plain",       "a \"quoted\" one", "back\\slash",       "two\nlines",
+    "caf\xc3\xa9", "not \xff utf-8",   std::string(1, '\0')
+  };
+  for (const std::string& value : values) {
+    std::string line = RenderLogLine(
+      EventOf(event_code::JobDecided), 17, "edge-1", { { "reason", value } });
+    nlohmann::json read = nlohmann::json::parse(line);
+    CHECK(line.find('\n') == std::string::npos);
+    CHECK(read["time_ms"] == 17);
+    CHECK(read["event"] == int(event_code::JobDecided));
+    CHECK(read["process"] == "edge-1");
+    bool valid = value.find('\xff') == std::string::npos;
+    if (valid) {
+      CHECK(read["reason"] == value);
+    }
+  }
+}
+
+TEST_CASE("under load the endings of jobs are still logged")
+{
+  // An entry takes 250 jobs a second, with several lines for each. If the
+  // first lines of the second used up the budget, operators would not find how
+  // a job ended that a user complains of.
+  log_sink log("edge-1", severity::Info);
+  size_t endings = LinesWith("job_decided", [&] {
+    for (int i = 0; i < 250; i++) {
+      for (int n = 0; n < 6; n++) {
+        log.Emit(event_code::TasksPlaced, { { "job", std::to_string(i) } });
+      }
+      log.Emit(event_code::JobDecided, { { "job", std::to_string(i) } });
+    }
+  });
+  CHECK(endings == 250);
+}
+
+} // namespace cactusmast
