Notice callers that hang up while they wait

The tasks of such callers ran on, also after the job had been sent again to another entry.

Change: the server asks the sockets of open exchanges every 200 ms.

The load tool takes more than 250 executors and reports failures like the other programs.

--- a/Makefile
+++ b/Makefile
@@ -94,7 +94,8 @@
 
 # Every test; the last line counts them.
 test: deps
-	@$(MAKE) --no-print-directory programs $(BUILD)/cactusmast-test
+	@$(MAKE) --no-print-directory programs platform-programs \
+	  $(BUILD)/cactusmast-test
 	@scripts/run_tests.sh $(BUILD)
 
 # Our own sources; generated/ keeps its generator's form.
--- a/shell/http_server.cc
+++ b/shell/http_server.cc
@@ -38,6 +38,12 @@
 // not knowing whether its request was run.
 constexpr int kBacklog = 1024;
 
+// While an answer is awaited the library does not read from the connection, so
+// it never learns that the client has closed it. Tasks of such a client would
+// run on, also after it has sent its job again elsewhere, which it does 1300 ms
+// later. Asking each socket this often leaves a second to stop them.
+constexpr guint kHangUpIntervalMs = 200;
+
 gobject_ptr<GSocket>
 OpenListener(const std::string& aListen, GError** aError)
 {
@@ -131,6 +137,9 @@
 
 http_server::~http_server()
 {
+  if (mHangUpTimer != 0) {
+    g_source_remove(mHangUpTimer);
+  }
   for (auto& [id, exchange] : mOpen) {
     g_signal_handler_disconnect(exchange->mMessage.get(),
                                 exchange->mFinishedHandler);
@@ -241,6 +250,47 @@
   if (still != self->mOpen.end()) {
     still->second->mPaused = true;
     soup_server_message_pause(aMessage);
+    self->WatchHangUps();
+  }
+}
+
+void
+http_server::WatchHangUps()
+{
+  if (mHangUpTimer == 0) {
+    mHangUpTimer =
+      g_timeout_add(kHangUpIntervalMs, &http_server::OnHangUpTimer, this);
+  }
+}
+
+gboolean
+http_server::OnHangUpTimer(gpointer aData)
+{
+  auto* self = static_cast<http_server*>(aData);
+  self->DropHungUp();
+  if (!self->mOpen.empty()) {
+    return G_SOURCE_CONTINUE;
+  }
+  self->mHangUpTimer = 0;
+  return G_SOURCE_REMOVE;
+}
+
+void
+http_server::DropHungUp()
+{
+  std::vector<uint64_t> left;
+  for (const auto& [id, exchange] : mOpen) {
+    if (exchange->ClientLeft()) {
+      left.push_back(id);
+    }
+  }
+  for (uint64_t id : left) {
+    // Nobody reads the answer; it makes the library close its side.
+    http_answer answer;
+    answer.mStatus = SOUP_STATUS_SERVICE_UNAVAILABLE;
+    answer.mClose = true;
+    Answer(id, answer);
+    mGone(id);
   }
 }
 
--- a/shell/http_server.h
+++ b/shell/http_server.h
@@ -66,7 +66,8 @@
 public:
   // Receives every request. May call Answer before it returns.
   using handler = std::function<void(http_exchange&)>;
-  // The client went away before its answer.
+  // The client closed its connection, or that broke, before its answer: told
+  // within 200 ms. A client that only stops sending counts as gone.
   using gone_handler = std::function<void(uint64_t)>;
 
   static result<std::unique_ptr<http_server>> Create(const std::string& aListen,
@@ -94,6 +95,9 @@
                       GHashTable* aQuery,
                       gpointer aData);
   static void OnFinished(SoupServerMessage* aMessage, gpointer aData);
+  static gboolean OnHangUpTimer(gpointer aData);
+  void WatchHangUps();
+  void DropHungUp();
 
   gobject_ptr<SoupServer> mServer;
   size_t mMaxBody;
@@ -103,6 +107,7 @@
   std::map<SoupServerMessage*, uint64_t> mByMessage;
   uint64_t mNextId = 1;
   uint64_t mServed = 0;
+  guint mHangUpTimer = 0; // while exchanges are open
 };
 
 } // namespace cactusmast
--- a/shell/testing/http_server_test.cc
+++ b/shell/testing/http_server_test.cc
@@ -18,12 +18,15 @@
 
 // A server on a free port of the loopback interface.
 std::unique_ptr<http_server>
-Serve(http_server::handler aHandler, uint16_t* aPort)
+Serve(
+  http_server::handler aHandler,
+  uint16_t* aPort,
+  http_server::gone_handler aGone = [](uint64_t) {})
 {
   for (uint16_t i = 0; i < 50; i++) {
     *aPort = uint16_t(21000 + (getpid() * 11 + i * 317) % 20000);
     result<std::unique_ptr<http_server>> made = http_server::Create(
-      "127.0.0.1:" + std::to_string(*aPort), 1024, aHandler, [](uint64_t) {});
+      "127.0.0.1:" + std::to_string(*aPort), 1024, aHandler, aGone);
     if (made.Ok()) {
       return std::move(made.Value());
     }
@@ -87,4 +90,30 @@
   CHECK(left);
 }
 
+TEST_CASE("a client that leaves while it waits for its answer is noticed")
+{
+  // A caller hangs up while its job runs and sends the job to another entry
+  // 1300 ms later. If the first entry did not notice, its tasks would go on
+  // beside the second ones, and an order would be carried out twice.
+  uint16_t port = 0;
+  bool handled = false;
+  bool gone = false;
+  uint64_t held = 0;
+  std::unique_ptr<http_server> server = Serve(
+    [&](http_exchange& aOne) {
+      held = aOne.Id();
+      handled = true;
+    },
+    &port,
+    [&](uint64_t aId) { gone = aId == held; });
+  int client = SendRequest(port);
+  TurnUntil(handled);
+  CHECK_FALSE(gone);
+  gint64 closed = g_get_monotonic_time();
+  close(client);
+  TurnUntil(gone);
+  CHECK(g_get_monotonic_time() - closed < G_USEC_PER_SEC);
+  CHECK(server->Open() == 0);
+}
+
 } // namespace cactusmast
--- a/standins/platform_load_main.cc
+++ b/standins/platform_load_main.cc
@@ -13,6 +13,7 @@
 
 #include "cactusmast/task_executor.h"
 #include "shell/daemon.h"
+#include "shell/daemon_main.h"
 #include "shell/http_client.h"
 #include "shell/http_server.h"
 #include "shell/log_sink.h"
@@ -137,7 +138,10 @@
     , mExecutor(1, "s", *this, mRunner, mEvents)
   {
     transport_options options;
-    options.mListen = "127.0.1." + std::to_string(aIndex + 1) + ":7702";
+    // Each has an address of its own in 127.0.0.0/8, as on machines.
+    constexpr uint32_t kHosts = 250;
+    options.mListen = "127.0." + std::to_string(1 + aIndex / kHosts) + "." +
+                      std::to_string(1 + aIndex % kHosts) + ":7702";
     options.mSharedKey = "load";
     options.mSelf.mRole = process_role::Guard;
     options.mSelf.mName = "side-" + std::to_string(aIndex);
@@ -347,12 +351,9 @@
               aCpu / aSeconds);
 }
 
-} // namespace
-
 int
-main(int aCount, char** aWords)
+Run(std::map<std::string, docopt::value> aOptions)
 {
-  auto options = docopt::docopt(kUsage, { aWords + 1, aWords + aCount });
   load self;
   self.mStore =
     std::move(http_server::Create(
@@ -361,20 +362,29 @@
                 [&self](http_exchange& aOne) { AnswerStore(&self, aOne); },
                 [](uint64_t) {})
                 .Value());
-  for (long i = 0; i < options["--executors"].asLong(); i++) {
+  for (long i = 0; i < aOptions["--executors"].asLong(); i++) {
     self.mExecutors.push_back(std::make_unique<loaded_executor>(uint32_t(i)));
   }
   self.mLastTurn = Now();
   g_timeout_add(2, &OnTurn, &self);
   constexpr double kSettleSeconds = 2;
   Turn(kSettleSeconds);
-  self.mRate = double(options["--rate"].asLong());
+  self.mRate = double(aOptions["--rate"].asLong());
   Turn(1);
-  long pid = options["--pid"].asLong();
+  long pid = aOptions["--pid"].asLong();
   double cpu = ProcessorSeconds(pid);
   uint64_t reports = Reports(self);
-  double seconds = double(options["--seconds"].asLong());
+  double seconds = double(aOptions["--seconds"].asLong());
   Turn(seconds);
   Print(&self, seconds, ProcessorSeconds(pid) - cpu, Reports(self) - reports);
   return 0;
 }
+
+} // namespace
+
+int
+main(int aCount, char** aWords)
+{
+  auto options = docopt::docopt(kUsage, { aWords + 1, aWords + aCount });
+  return RunOrReport([&options] { return Run(options); });
+}
