Start tasks in the executor's tick alone

Cause: an executor that stood still was to start nothing before it has read all that arrived, but the safeguard covered orders only. The answer of a look that was under way still started what fitted at once, so that an order, that answer and the order's withdrawal, read in this sequence, ran a task whose job runs elsewhere by then.

Change: the tick is the one place that starts queued tasks. The daemon ticks after every input in the same turn of its loop, so nothing starts later.

--- a/cactusmast/task_executor.cc
+++ b/cactusmast/task_executor.cc
@@ -105,10 +105,6 @@
   for (const wire::task_attempt& attempt : aOrder.tasks) {
     Accept(aEntry, aOrder, attempt, spec, aNow);
   }
-  // Started by the next tick, which comes once all that has arrived is read. A
-  // process that stood still finds the order, its withdrawal and the end of the
-  // connection in one go; starting at once would run tasks whose job runs
-  // elsewhere by now.
   MarkChanged();
 }
 
@@ -424,6 +420,10 @@
   if (LookIsDue(aNow)) {
     SendLook(aNow);
   }
+  // Tasks start here alone, because a tick comes once all that has arrived is
+  // read. A process that stood still finds an order, its withdrawal and the end
+  // of the connection in one go; starting as soon as the order or an answer of
+  // the backend server is read would run tasks whose job runs elsewhere by now.
   StartWhatFits(aNow);
   SendReports(aNow);
 }
--- a/cactusmast/task_executor_looks.cc
+++ b/cactusmast/task_executor_looks.cc
@@ -84,7 +84,6 @@
   }
   ApplyEnds(aSeen, aNow);
   ApplyRunning(aSeen, sent, aNow);
-  StartWhatFits(aNow);
 }
 
 void
--- a/cactusmast/testing/task_executor_test.cc
+++ b/cactusmast/testing/task_executor_test.cc
@@ -144,6 +144,22 @@
   CHECK(closed.mRunner.mStarts.empty());
 }
 
+TEST_CASE("an answer read between an order and its withdrawal starts nothing")
+{
+  // The same standstill, but a look was under way: its answer has arrived as
+  // well, and the executor reads it before it comes to the withdrawal.
+  known_server world;
+  world.Pass(milliseconds(20)); // a look is under way
+  world.Order();
+  world.Look({}, {});
+  wire::stop_tasks_msg stop;
+  stop.job = 7;
+  stop.indexes.push_back(0);
+  world.mExecutor.OnStopTasks(1, stop, world.mNow);
+  world.Pass(milliseconds(1));
+  CHECK(world.mRunner.mStarts.empty());
+}
+
 TEST_CASE("a refused start never started, if it was the only order")
 {
   for (start_result result : kNotStarted) {
