Read all four settings files in one frame

The readers of entry, guard, coordinator and executor each repeated how a file is loaded, read strictly and guarded. ReadSettingsFile does it once; each reader is left with its own keys. No behaviour changes; the settings tests pass as they were.

--- a/cactusmast/instance_settings.cc
+++ b/cactusmast/instance_settings.cc
@@ -4,8 +4,7 @@
 
 namespace cactusmast {
 
-using detail::Guarded;
-using detail::Load;
+using detail::ReadSettingsFile;
 using detail::settings_reader;
 
 namespace {
@@ -51,30 +50,24 @@
 result<coordinator_settings>
 ReadCoordinatorSettings(const std::string& aText, const std::string& aFile)
 {
-  return Guarded<coordinator_settings>(aFile, [&] {
-    settings_reader reader(Load(aText, aFile), aFile);
-    coordinator_settings made;
-    ReadInstance(reader, aFile, &made.mInstance);
-    reader.Address("front", true, &made.mFront);
-    reader.Address("readiness", true, &made.mReadiness);
-    reader.Finish();
-    return made;
-  });
+  return ReadSettingsFile<coordinator_settings>(
+    aText, aFile, [&](settings_reader& aReader, coordinator_settings* aOut) {
+      ReadInstance(aReader, aFile, &aOut->mInstance);
+      aReader.Address("front", true, &aOut->mFront);
+      aReader.Address("readiness", true, &aOut->mReadiness);
+    });
 }
 
 result<executor_settings>
 ReadExecutorSettings(const std::string& aText, const std::string& aFile)
 {
-  return Guarded<executor_settings>(aFile, [&] {
-    settings_reader reader(Load(aText, aFile), aFile);
-    executor_settings made;
-    ReadInstance(reader, aFile, &made.mInstance);
-    reader.Address("control", true, &made.mControl);
-    reader.Address("backend", true, &made.mBackend);
-    reader.Text("service", true, &made.mService);
-    reader.Finish();
-    return made;
-  });
+  return ReadSettingsFile<executor_settings>(
+    aText, aFile, [&](settings_reader& aReader, executor_settings* aOut) {
+      ReadInstance(aReader, aFile, &aOut->mInstance);
+      aReader.Address("control", true, &aOut->mControl);
+      aReader.Address("backend", true, &aOut->mBackend);
+      aReader.Text("service", true, &aOut->mService);
+    });
 }
 
 } // namespace cactusmast
--- a/cactusmast/settings.cc
+++ b/cactusmast/settings.cc
@@ -7,6 +7,7 @@
 
 using detail::Guarded;
 using detail::Load;
+using detail::ReadSettingsFile;
 using detail::settings_reader;
 
 namespace {
@@ -38,38 +39,32 @@
 result<entry_settings>
 ReadEntrySettings(const std::string& aText, const std::string& aFile)
 {
-  return Guarded<entry_settings>(aFile, [&] {
-    settings_reader reader(Load(aText, aFile), aFile);
-    entry_settings made;
-    ReadProcess(reader, &made.mProcess);
-    reader.Number("initial_shards", 1, 1024, &made.mInitialShards);
-    reader.Number("retention_ms", 1000, 86400000, &made.mRetentionMs);
-    reader.Number(
-      "max_answer_bytes", 1u << 16, 1u << 30, &made.mMaxAnswerBytes);
-    reader.Number("max_open_requests", 1, 1000000, &made.mMaxOpenRequests);
-    reader.Number("max_job_tasks", 1, 100000, &made.mApi.mMaxTasks);
-    reader.Tokens("operator_tokens", &made.mOperatorTokens);
-    reader.Tokens("team_tokens", &made.mTeamTokens);
-    reader.Finish();
-    return made;
-  });
+  return ReadSettingsFile<entry_settings>(
+    aText, aFile, [](settings_reader& aReader, entry_settings* aOut) {
+      ReadProcess(aReader, &aOut->mProcess);
+      aReader.Number("initial_shards", 1, 1024, &aOut->mInitialShards);
+      aReader.Number("retention_ms", 1000, 86400000, &aOut->mRetentionMs);
+      aReader.Number(
+        "max_answer_bytes", 1u << 16, 1u << 30, &aOut->mMaxAnswerBytes);
+      aReader.Number("max_open_requests", 1, 1000000, &aOut->mMaxOpenRequests);
+      aReader.Number("max_job_tasks", 1, 100000, &aOut->mApi.mMaxTasks);
+      aReader.Tokens("operator_tokens", &aOut->mOperatorTokens);
+      aReader.Tokens("team_tokens", &aOut->mTeamTokens);
+    });
 }
 
 result<guard_settings>
 ReadGuardSettings(const std::string& aText, const std::string& aFile)
 {
-  return Guarded<guard_settings>(aFile, [&] {
-    settings_reader reader(Load(aText, aFile), aFile);
-    guard_settings made;
-    ReadProcess(reader, &made.mProcess);
-    reader.Number("shard", 0, 1023, &made.mShard);
-    reader.Number("retention_ms", 1000, 86400000, &made.mRetentionMs);
-    reader.Number("max_records", 1000, 10000000, &made.mMaxRecords);
-    reader.Number(
-      "max_result_bytes", 1u << 16, 1u << 30, &made.mMaxResultBytes);
-    reader.Finish();
-    return made;
-  });
+  return ReadSettingsFile<guard_settings>(
+    aText, aFile, [](settings_reader& aReader, guard_settings* aOut) {
+      ReadProcess(aReader, &aOut->mProcess);
+      aReader.Number("shard", 0, 1023, &aOut->mShard);
+      aReader.Number("retention_ms", 1000, 86400000, &aOut->mRetentionMs);
+      aReader.Number("max_records", 1000, 10000000, &aOut->mMaxRecords);
+      aReader.Number(
+        "max_result_bytes", 1u << 16, 1u << 30, &aOut->mMaxResultBytes);
+    });
 }
 
 result<std::string>
--- a/cactusmast/settings_reader.h
+++ b/cactusmast/settings_reader.h
@@ -203,6 +203,21 @@
   }
 }
 
+// Reads a whole settings file: aRead takes the values from the reader, and what
+// it does not ask for is refused.
+template<typename T, typename Read>
+result<T>
+ReadSettingsFile(const std::string& aText, const std::string& aFile, Read aRead)
+{
+  return Guarded<T>(aFile, [&] {
+    settings_reader reader(Load(aText, aFile), aFile);
+    T made;
+    aRead(reader, &made);
+    reader.Finish();
+    return made;
+  });
+}
+
 } // namespace detail
 } // namespace cactusmast
 
