Build a task's placement request once, and the speeds of the servers in one pass

PlaceAll built the request to see whether the task was late, and PlaceOne built it again; the median and the least slowness came from two walks over the same servers, in two functions and two members. The request is handed on now, and SlownessOf gives both figures.

--- a/cactusmast/job_coordinator.h
+++ b/cactusmast/job_coordinator.h
@@ -208,8 +208,7 @@
                                  instant aNow);
   placement_verdict PlaceOne(job& aJob,
                              const task_key& aKey,
-                             placement_aim aAim,
-                             instant aNow);
+                             placement_request aRequest);
   void SendOrders(instant aNow);
   void RefreshFree(executor& aAt);
   task* CurrentAttempt(peer_id aPeer, const task_key& aKey, uint32_t aAttempt);
@@ -244,9 +243,7 @@
   std::set<std::pair<instant, uint64_t>> mDeadlines;
   std::map<peer_id, executor> mExecutors;
   std::vector<server_view> mViews;
-  // Of mViews, as of the last placing.
-  double mMedianSlowness = 1;
-  double mLeastSlowness = 1;
+  slowness_range mSlowness; // of mViews, as of the last placing
   bool mRoomChanged = false;
   instant mPlacedAt{};          // when all that waits was last tried
   std::set<uint64_t> mHopeless; // jobs to end after this turn's placement
--- a/cactusmast/job_coordinator_placement.cc
+++ b/cactusmast/job_coordinator_placement.cc
@@ -60,8 +60,7 @@
   for (server_view& view : mViews) {
     view.mAgeMs = MsBetween(view.mReportedAt, aNow);
   }
-  mMedianSlowness = MedianSlowness(mViews);
-  mLeastSlowness = LeastSlowness(mViews);
+  mSlowness = SlownessOf(mViews);
   // Tasks that would meet their objective come first; the others are served
   // from what is left. Otherwise, once work backs up, each answer would be
   // late.
@@ -126,16 +125,18 @@
       left.push_back(key);
       continue;
     }
+    job& owner = mJobs.at(key.mJob);
+    placement_request request = RequestFor(owner, key, aNow);
+    request.mAim = aAim;
     // What is late already stands first in the order. If it counted as tried,
     // those behind it that can still be in time would not be.
     bool late = aAim == placement_aim::InObjective &&
-                !CanMeetObjective(RequestFor(mJobs.at(key.mJob), key, aNow),
-                                  mLeastSlowness);
+                !CanMeetObjective(request, mSlowness.mLeast);
     if (late) {
       left.push_back(key);
       continue;
     }
-    placement_verdict verdict = PlaceOne(mJobs.at(key.mJob), key, aAim, aNow);
+    placement_verdict verdict = PlaceOne(owner, key, request);
     if (verdict == placement_verdict::Place) {
       continue;
     }
@@ -167,24 +168,21 @@
   request.mObjectiveBaseMs =
     aJob.mRoute->mObjectiveBaseMs - MsBetween(aJob.mAcceptedAt, aNow);
   request.mObjectiveStretch = aJob.mRoute->mObjectiveStretch;
-  request.mMedianSlowness = mMedianSlowness;
+  request.mMedianSlowness = mSlowness.mMedian;
   return request;
 }
 
 placement_verdict
 job_coordinator::PlaceOne(job& aJob,
                           const task_key& aKey,
-                          placement_aim aAim,
-                          instant aNow)
+                          placement_request aRequest)
 {
   task& one = TaskOf(aJob, aKey);
-  const job_step& step = aJob.mSubmission.mSteps[aKey.mStep];
-  placement_request request = RequestFor(aJob, aKey, aNow);
-  request.mAim = aAim;
-  placement_decision decision = ChooseServer(mViews, request, mRandom);
+  const job_step& step = *aRequest.mStep;
+  placement_decision decision = ChooseServer(mViews, aRequest, mRandom);
   if (decision.mVerdict == placement_verdict::Nowhere && one.mAvoid != 0) {
-    request.mAvoid = 0;
-    decision = ChooseServer(mViews, request, mRandom);
+    aRequest.mAvoid = 0;
+    decision = ChooseServer(mViews, aRequest, mRandom);
   }
   if (decision.mVerdict != placement_verdict::Place) {
     return decision.mVerdict;
@@ -197,7 +195,7 @@
   one.mAt = view.mPeer;
   one.mAttempt++;
   mExecutors[view.mPeer].mTasks.insert(aKey);
-  auto estimateMs = uint32_t(request.mEstimateMs);
+  auto estimateMs = uint32_t(aRequest.mEstimateMs);
   mOrders[{ view.mPeer, aKey.mJob, aKey.mStep, estimateMs }].push_back(
     aKey.mIndex);
   mCounters.mAttempts++;
--- a/cactusmast/placement.cc
+++ b/cactusmast/placement.cc
@@ -88,8 +88,8 @@
 
 } // namespace
 
-double
-MedianSlowness(const std::vector<server_view>& aViews)
+slowness_range
+SlownessOf(const std::vector<server_view>& aViews)
 {
   std::vector<double> all;
   for (const server_view& view : aViews) {
@@ -98,22 +98,11 @@
     }
   }
   if (all.empty()) {
-    return 1;
-  }
-  std::nth_element(all.begin(), all.begin() + long(all.size() / 2), all.end());
-  return all[all.size() / 2];
-}
-
-double
-LeastSlowness(const std::vector<server_view>& aViews)
-{
-  double least = std::numeric_limits<double>::infinity();
-  for (const server_view& view : aViews) {
-    if (view.mState == server_state::Ready) {
-      least = std::min(least, view.mSlowness);
-    }
+    return {};
   }
-  return std::isfinite(least) ? least : 1;
+  auto middle = all.begin() + long(all.size() / 2);
+  std::nth_element(all.begin(), middle, all.end());
+  return { *std::min_element(all.begin(), middle + 1), *middle };
 }
 
 bool
--- a/cactusmast/placement.h
+++ b/cactusmast/placement.h
@@ -73,8 +73,8 @@
   // backend server of ordinary speed times mObjectiveStretch.
   double mObjectiveBaseMs = 0;
   double mObjectiveStretch = 1;
-  // Of all ready backend servers, by MedianSlowness: the same for many
-  // requests, so it is not worked out for each.
+  // By SlownessOf: the same for many requests, so it is not worked out for
+  // each.
   double mMedianSlowness = 1;
 };
 
@@ -117,13 +117,15 @@
 placement_forecast
 Forecast(const server_view& aView, const placement_request& aRequest);
 
-// 1 when none is ready.
-double
-MedianSlowness(const std::vector<server_view>& aViews);
+// Of all ready backend servers; 1 when none is ready.
+struct slowness_range
+{
+  double mLeast = 1;
+  double mMedian = 1;
+};
 
-// Of the fastest backend server that is ready; 1 when none is.
-double
-LeastSlowness(const std::vector<server_view>& aViews);
+slowness_range
+SlownessOf(const std::vector<server_view>& aViews);
 
 // False when even a backend server of aSlowness that started the task now would
 // probably end it after the objective.
