--- a/shell/coordinator_daemon.cc
+++ b/shell/coordinator_daemon.cc
@@ -16,15 +16,6 @@
 constexpr duration kConfigCopyAfter = milliseconds(300);
 constexpr duration kEntrySilence = milliseconds(1000);
 constexpr duration kAnnounceRetry = milliseconds(1000);
-// The balancer asks once a second whether this entry is ready and sends no new
-// connections after two refusals. From here on answers close their connection,
-// so that callers with an open one have three seconds to move elsewhere before
-// nothing is accepted any more; a caller who comes back early pays a handshake.
-constexpr duration kCloseAfter = milliseconds(1000);
-// The balancer is done by then. A job whose tasks would outlast the time of the
-// planned stop is refused earlier.
-constexpr duration kAcceptWhileDraining = milliseconds(4000);
-constexpr int kUnavailable = 503;
 // Headers and body before a configuration is known.
 constexpr size_t kMaxBody = 1u << 20;
 
@@ -98,191 +89,10 @@
 bool
 coordinator_daemon::IsReady() const
 {
-  return mDrainingSince.count() == 0 && mConfig.Table() != nullptr &&
+  return !IsDraining() && mConfig.Table() != nullptr &&
          mCoordinator.ReadyServers() > 0;
 }
 
-void
-coordinator_daemon::Reply(uint64_t aExchange,
-                          int aStatus,
-                          const std::string& aBody)
-{
-  http_answer answer;
-  answer.mStatus = aStatus;
-  answer.mBody = aBody;
-  answer.mClose =
-    mDrainingSince.count() != 0 && Now() - mDrainingSince > kCloseAfter;
-  mFront->Answer(aExchange, answer);
-}
-
-void
-coordinator_daemon::Refuse(uint64_t aExchange, const failure& aWhy)
-{
-  mLog.Emit(
-    event_code::JobRefused,
-    { { "reason", aWhy.what() }, { "code", std::string(Name(aWhy.Code())) } });
-  http_answer answer = ErrorAnswer(aWhy);
-  answer.mClose = mDrainingSince.count() != 0;
-  mFront->Answer(aExchange, answer);
-}
-
-void
-coordinator_daemon::OnRequest(http_exchange& aExchange)
-{
-  std::shared_ptr<const route_table> table = mConfig.Table();
-  if (table == nullptr) {
-    Refuse(aExchange.Id(),
-           failure(error_code::Unavailable,
-                   "route",
-                   "store",
-                   "no configuration yet",
-                   run_state::NotRun,
-                   milliseconds(1000)));
-    return;
-  }
-  const std::string& path = aExchange.Path();
-  const route* way = table->Find(aExchange.Header("Host"), path);
-  if (way == nullptr) {
-    Refuse(
-      aExchange.Id(),
-      failure(error_code::NotFound,
-              "route",
-              "caller",
-              "no such queue in version " + std::to_string(mConfig.Version())));
-    return;
-  }
-  std::string name = path.substr(way->mPrefix.size());
-  const std::string& method = aExchange.Method();
-  if (name.empty() && method == "GET") {
-    Reply(aExchange.Id(),
-          200,
-          mAdapter.mCallers.EncodeQueueLength(
-            mCoordinator.UnstartedJobs(way->mName)));
-    return;
-  }
-  uint64_t job = 0;
-  if (!ParseJob(name, &job)) {
-    Refuse(aExchange.Id(),
-           failure(error_code::BadRequest,
-                   "read request",
-                   "caller",
-                   "a job is named by 16 hexadecimal digits"));
-    return;
-  }
-  if (method == "POST") {
-    OnSubmission(aExchange, table, *way, job);
-    TickSoon();
-    return;
-  }
-  if (method == "DELETE" && mCoordinator.Cancel(job, Now())) {
-    Reply(aExchange.Id(), 200, "{}");
-    return;
-  }
-  // A job whose caller waits for the answer is not kept after it.
-  constexpr int kGone = 410;
-  constexpr int kNotAllowed = 405;
-  bool known = method == "GET" || method == "DELETE";
-  Reply(aExchange.Id(), known ? kGone : kNotAllowed, "{}");
-}
-
-// Always true while no stop is under way.
-bool
-coordinator_daemon::EndsBeforeStop(const job_submission& aJob) const
-{
-  if (mDrainingSince.count() == 0) {
-    return true;
-  }
-  duration drained = Now() - mDrainingSince;
-  milliseconds longest{ 0 };
-  for (const job_step& step : aJob.mSteps) {
-    longest = std::max(longest, milliseconds(step.mEstimateMs));
-  }
-  return drained <= kAcceptWhileDraining &&
-         drained + longest <= milliseconds(DrainTimeMs());
-}
-
-void
-coordinator_daemon::OnSubmission(
-  http_exchange& aExchange,
-  const std::shared_ptr<const route_table>& aTable,
-  const route& aRoute,
-  uint64_t aJob)
-{
-  if (aExchange.ClientLeft()) {
-    // Seconds may have passed since it was sent, and the caller sends its job
-    // again 1300 ms after it closed: its tasks would run twice at a time.
-    mLog.Emit(event_code::JobCancelled,
-              { { "job", JobText(aJob) },
-                { "reason", "its caller left before it was read" } });
-    Reply(aExchange.Id(), kUnavailable, "{}");
-    return;
-  }
-  if (aExchange.Body().size() > aTable->Config().mMaxBodyBytes) {
-    Refuse(aExchange.Id(),
-           failure(error_code::TooLarge, "read request", "caller", "body"));
-    return;
-  }
-  if (aRoute.mNeedsTickets) {
-    Refuse(aExchange.Id(),
-           failure(error_code::Unavailable,
-                   "submit",
-                   mInstance.mName,
-                   "routes whose starts need tickets are not served",
-                   run_state::NotRun,
-                   milliseconds(60000)));
-    return;
-  }
-  result<job_submission> decoded =
-    mAdapter.mCallers.DecodeJob(aExchange.Body());
-  if (!decoded.Ok()) {
-    Refuse(aExchange.Id(), decoded.Error());
-    return;
-  }
-  if (!EndsBeforeStop(decoded.Value())) {
-    Refuse(aExchange.Id(),
-           failure(error_code::Draining,
-                   "submit",
-                   mInstance.mName,
-                   "this process is stopping",
-                   run_state::NotRun,
-                   milliseconds(1000)));
-    return;
-  }
-  job_request request;
-  request.mCaller = aExchange.Id();
-  request.mJob = aJob;
-  request.mSubmission = std::move(decoded.Value());
-  request.mTable = aTable;
-  request.mRoute = &aRoute;
-  std::string wait = aExchange.Header(mAdapter.mCallers.WaitHeader());
-  request.mWaitMs = uint32_t(std::strtoul(wait.c_str(), nullptr, 10));
-  mCoordinator.Submit(std::move(request), Now());
-}
-
-void
-coordinator_daemon::Answer(caller_id aCaller, const job_outcome& aOutcome)
-{
-  constexpr int kGatewayTimeout = 504;
-  switch (aOutcome.mEnding) {
-    case job_ending::Refused:
-      Refuse(aCaller,
-             failure(
-               error_code::Overloaded,
-               "place",
-               mInstance.mName,
-               aOutcome.mReason,
-               run_state::NotRun,
-               std::chrono::duration_cast<milliseconds>(aOutcome.mRetryAfter)));
-      return;
-    case job_ending::Expired:
-      Reply(aCaller, kGatewayTimeout, "{}");
-      return;
-    default:
-      Reply(aCaller, 200, mAdapter.mCallers.EncodeEnding(aOutcome.mEnding));
-      return;
-  }
-}
-
 void
 coordinator_daemon::Start(peer_id aExecutor, wire::start_tasks_msg aOrder)
 {
@@ -414,7 +224,7 @@
 void
 coordinator_daemon::AnnounceSelf(instant aNow)
 {
-  bool draining = mDrainingSince.count() != 0;
+  bool draining = IsDraining();
   if (mAnnounced != draining || mAnnouncing || aNow < mNextAnnounce) {
     return;
   }
@@ -556,8 +366,7 @@
 bool
 coordinator_daemon::IsDrained()
 {
-  return Now() - mDrainingSince > kAcceptWhileDraining &&
-         mCoordinator.OpenJobs() == 0 && mFront->Open() == 0;
+  return !AcceptsJobs() && mCoordinator.OpenJobs() == 0 && mFront->Open() == 0;
 }
 
 void
--- a/shell/coordinator_daemon.h
+++ b/shell/coordinator_daemon.h
@@ -72,17 +72,41 @@
     uint64_t mSentVersion = 0; // of the configuration, to this peer
   };
 
+  struct executor_peer
+  {
+    uint64_t mToldRevision = 0; // of the directory
+    instant mSentAt{};          // when it was last shown that this entry lives
+  };
+
   coordinator_daemon(const coordinator_settings& aSettings,
                      const coordinator_adapter& aAdapter);
   void Open();
   void OnRequest(http_exchange& aExchange);
-  bool EndsBeforeStop(const job_submission& aJob) const;
   void OnSubmission(http_exchange& aExchange,
                     const std::shared_ptr<const route_table>& aTable,
                     const route& aRoute,
                     uint64_t aJob);
+  // Errors: what the caller is refused with.
+  result<job_submission> ReadSubmission(const http_exchange& aExchange,
+                                        const route_table& aTable,
+                                        const route& aRoute) const;
   void Reply(uint64_t aExchange, int aStatus, const std::string& aBody);
   void Refuse(uint64_t aExchange, const failure& aWhy);
+  failure NotRun(error_code aCode,
+                 const std::string& aStep,
+                 const std::string& aReason,
+                 milliseconds aRetryAfter) const;
+
+  bool IsDraining() const { return mDrainingSince.count() != 0; }
+  // Zero while no planned stop is under way.
+  duration DrainingFor() const
+  {
+    return IsDraining() ? Now() - mDrainingSince : duration{};
+  }
+  // False in the later part of a planned stop.
+  bool AcceptsJobs() const;
+  // Always true while no planned stop is under way.
+  bool EndsBeforeStop(const job_submission& aJob) const;
   bool IsReady() const;
   void OfferConfig(const std::string& aText, const std::string& aSource);
   void OnConfigRow(const watched_row& aRow);
@@ -104,12 +128,6 @@
   std::unique_ptr<http_server> mFront;
   std::unique_ptr<http_server> mReadiness;
   std::map<peer_id, entry_peer> mEntryPeers;
-  struct executor_peer
-  {
-    uint64_t mToldRevision = 0; // of the directory
-    instant mSentAt{};          // when it was last shown that this entry lives
-  };
-
   std::map<peer_id, executor_peer> mExecutorPeers;
   instant mNextPulse{};
   bool mAnnounced = false;
--- /dev/null
+++ b/shell/coordinator_requests.cc
@@ -0,0 +1,216 @@
+// Callers' requests at a coordinator: what is accepted, and the answers.
+
+#include "shell/coordinator_daemon.h"
+
+#include <algorithm>
+
+#include "cactusmast/time_spans.h"
+
+namespace cactusmast {
+namespace {
+
+// The balancer asks once a second whether this entry is ready and sends no new
+// connections after two refusals. From here on answers close their connection,
+// so that callers with an open one have three seconds to move elsewhere before
+// nothing is accepted any more; a caller who comes back early pays a handshake.
+constexpr duration kCloseAfter = milliseconds(1000);
+// The balancer is done by then. A job whose tasks would outlast the time of the
+// planned stop is refused earlier.
+constexpr duration kAcceptWhileDraining = milliseconds(4000);
+// Another entry can serve the caller at once; this one is back within about a
+// second.
+constexpr milliseconds kOtherEntryRetryAfter{ 1000 };
+// What no entry serves becomes possible with another release only.
+constexpr milliseconds kUnservedRetryAfter{ 60000 };
+
+} // namespace
+
+void
+coordinator_daemon::Reply(uint64_t aExchange,
+                          int aStatus,
+                          const std::string& aBody)
+{
+  http_answer answer;
+  answer.mStatus = aStatus;
+  answer.mBody = aBody;
+  answer.mClose = DrainingFor() > kCloseAfter;
+  mFront->Answer(aExchange, answer);
+}
+
+void
+coordinator_daemon::Refuse(uint64_t aExchange, const failure& aWhy)
+{
+  mLog.Emit(
+    event_code::JobRefused,
+    { { "reason", aWhy.what() }, { "code", std::string(Name(aWhy.Code())) } });
+  http_answer answer = ErrorAnswer(aWhy);
+  answer.mClose = IsDraining();
+  mFront->Answer(aExchange, answer);
+}
+
+void
+coordinator_daemon::OnRequest(http_exchange& aExchange)
+{
+  std::shared_ptr<const route_table> table = mConfig.Table();
+  if (table == nullptr) {
+    Refuse(aExchange.Id(),
+           failure(error_code::Unavailable,
+                   "route",
+                   "store",
+                   "no configuration yet",
+                   run_state::NotRun,
+                   kOtherEntryRetryAfter));
+    return;
+  }
+  const std::string& path = aExchange.Path();
+  const route* way = table->Find(aExchange.Header("Host"), path);
+  if (way == nullptr) {
+    Refuse(
+      aExchange.Id(),
+      failure(error_code::NotFound,
+              "route",
+              "caller",
+              "no such queue in version " + std::to_string(mConfig.Version())));
+    return;
+  }
+  std::string name = path.substr(way->mPrefix.size());
+  const std::string& method = aExchange.Method();
+  if (name.empty() && method == "GET") {
+    Reply(aExchange.Id(),
+          SOUP_STATUS_OK,
+          mAdapter.mCallers.EncodeQueueLength(
+            mCoordinator.UnstartedJobs(way->mName)));
+    return;
+  }
+  uint64_t job = 0;
+  if (!ParseJob(name, &job)) {
+    Refuse(aExchange.Id(),
+           failure(error_code::BadRequest,
+                   "read request",
+                   "caller",
+                   "a job is named by 16 hexadecimal digits"));
+    return;
+  }
+  if (method == "POST") {
+    OnSubmission(aExchange, table, *way, job);
+    TickSoon();
+    return;
+  }
+  if (method == "DELETE" && mCoordinator.Cancel(job, Now())) {
+    Reply(aExchange.Id(), SOUP_STATUS_OK, "{}");
+    return;
+  }
+  // A job whose caller waits for the answer is not kept after it.
+  bool known = method == "GET" || method == "DELETE";
+  Reply(aExchange.Id(),
+        known ? SOUP_STATUS_GONE : SOUP_STATUS_METHOD_NOT_ALLOWED,
+        "{}");
+}
+
+bool
+coordinator_daemon::AcceptsJobs() const
+{
+  return DrainingFor() <= kAcceptWhileDraining;
+}
+
+bool
+coordinator_daemon::EndsBeforeStop(const job_submission& aJob) const
+{
+  milliseconds longest{ 0 };
+  for (const job_step& step : aJob.mSteps) {
+    longest = std::max(longest, milliseconds(step.mEstimateMs));
+  }
+  return !IsDraining() ||
+         DrainingFor() + longest <= milliseconds(DrainTimeMs());
+}
+
+failure
+coordinator_daemon::NotRun(error_code aCode,
+                           const std::string& aStep,
+                           const std::string& aReason,
+                           milliseconds aRetryAfter) const
+{
+  return failure(
+    aCode, aStep, mInstance.mName, aReason, run_state::NotRun, aRetryAfter);
+}
+
+result<job_submission>
+coordinator_daemon::ReadSubmission(const http_exchange& aExchange,
+                                   const route_table& aTable,
+                                   const route& aRoute) const
+{
+  if (aExchange.Body().size() > aTable.Config().mMaxBodyBytes) {
+    return failure(error_code::TooLarge, "read request", "caller", "body");
+  }
+  if (aRoute.mNeedsTickets) {
+    return NotRun(error_code::Unavailable,
+                  "submit",
+                  "routes whose starts need tickets are not served",
+                  kUnservedRetryAfter);
+  }
+  result<job_submission> decoded =
+    mAdapter.mCallers.DecodeJob(aExchange.Body());
+  if (decoded.Ok() && !(AcceptsJobs() && EndsBeforeStop(decoded.Value()))) {
+    return NotRun(error_code::Draining,
+                  "submit",
+                  "this process is stopping",
+                  kOtherEntryRetryAfter);
+  }
+  return decoded;
+}
+
+void
+coordinator_daemon::OnSubmission(
+  http_exchange& aExchange,
+  const std::shared_ptr<const route_table>& aTable,
+  const route& aRoute,
+  uint64_t aJob)
+{
+  if (aExchange.ClientLeft()) {
+    // Seconds may have passed since it was sent, and the caller sends its job
+    // again 1300 ms after it closed: its tasks would run twice at a time.
+    mLog.Emit(event_code::JobCancelled,
+              { { "job", JobText(aJob) },
+                { "reason", "its caller left before it was read" } });
+    Reply(aExchange.Id(), SOUP_STATUS_SERVICE_UNAVAILABLE, "{}");
+    return;
+  }
+  result<job_submission> read = ReadSubmission(aExchange, *aTable, aRoute);
+  if (!read.Ok()) {
+    Refuse(aExchange.Id(), read.Error());
+    return;
+  }
+  job_request request;
+  request.mCaller = aExchange.Id();
+  request.mJob = aJob;
+  request.mSubmission = std::move(read.Value());
+  request.mTable = aTable;
+  request.mRoute = &aRoute;
+  std::string wait = aExchange.Header(mAdapter.mCallers.WaitHeader());
+  request.mWaitMs = uint32_t(std::strtoul(wait.c_str(), nullptr, 10));
+  mCoordinator.Submit(std::move(request), Now());
+}
+
+void
+coordinator_daemon::Answer(caller_id aCaller, const job_outcome& aOutcome)
+{
+  switch (aOutcome.mEnding) {
+    case job_ending::Refused:
+      Refuse(aCaller,
+             NotRun(error_code::Overloaded,
+                    "place",
+                    aOutcome.mReason,
+                    milliseconds(ToMs(aOutcome.mRetryAfter))));
+      return;
+    case job_ending::Expired:
+      Reply(aCaller, SOUP_STATUS_GATEWAY_TIMEOUT, "{}");
+      return;
+    default:
+      Reply(aCaller,
+            SOUP_STATUS_OK,
+            mAdapter.mCallers.EncodeEnding(aOutcome.mEnding));
+      return;
+  }
+}
+
+} // namespace cactusmast
