--- a/Makefile
+++ b/Makefile
@@ -102,7 +102,8 @@
 OWN_SOURCES := $(wildcard cactusmast/*.cc \
   cactusmast/*.h cactusmast/testing/*.cc cactusmast/testing/*.h shell/*.cc \
   shell/*.h util/*.h cmd/*.cc platform/*.cc \
-  platform/*.h platform/testing/*.cc shell/testing/*.cc standins/*.cc bench/*.cc bench/*.h fuzz/*.cc)
+  platform/*.h platform/testing/*.cc shell/testing/*.cc shell/testing/*.h \
+  standins/*.cc bench/*.cc bench/*.h fuzz/*.cc)
 
 format:
 	@clang-format -i $(OWN_SOURCES)
--- a/cactusmast/job_coordinator.cc
+++ b/cactusmast/job_coordinator.cc
@@ -103,9 +103,9 @@
   made.mAcceptedAt = aNow;
   // A caller that says how long it waits is served that long, also beyond its
   // route's timeout: tasks of two seconds on a route of 1500 ms were ended
-  // while their callers waited and their objective was not over. Without the
-  // shorter limit the calm day of portier-cactus serves 1.000 instead of 0.959
-  // of its worth, that of soarvalley-sched 1.000 instead of 0.990 (one run).
+  // while their callers waited and their objective was not over. On a calm day
+  // of each user 1.000 of the worth is served so, with the shorter limit 0.959
+  // and 0.990 (one run each, docs/MEASUREMENTS.md).
   uint32_t waitMs = aRequest.mWaitMs > 0 ? aRequest.mWaitMs : way.mTimeoutMs;
   made.mDeadline = aNow + milliseconds(waitMs) - kAnswerMargin;
   uint32_t longest = 0;
--- a/cactusmast/task_executor_limits.h
+++ b/cactusmast/task_executor_limits.h
@@ -13,10 +13,10 @@
 // Reports go out at once with ends, else when something changed, but to each of
 // n entries no more often than every n times this: 125 a second in all, however
 // many entries there are. An entry knows what it ordered itself, and what
-// others ordered reaches it with the ends of its own tasks as well; with 6 and
-// 12 ms the heavy days of both grown sites are worth the same as with 25 ms for
-// any number of entries (.761 .761 .764; .838 and .836 where it was played),
-// and a report costs an entry about 17 us of a core.
+// others ordered reaches it with the ends of its own tasks as well: with nine
+// entries, 6 and 12 ms served heavy load as well as reports every 25 ms did
+// (.761 and .761 against .764 of the worth, one run each), and a report costs
+// an entry about 14 us of a core (cactusmast-platform-load).
 constexpr duration kReportSpacing = milliseconds(8);
 // Unasked, so that entries can tell silence from calm.
 constexpr duration kQuietReportInterval = milliseconds(150);
--- a/shell/log_sink.h
+++ b/shell/log_sink.h
@@ -2,8 +2,8 @@
 //
 // Writing never blocks: what the reader of the stream does not take at once is
 // dropped, and so are lines below Error beyond kLinesPerSecond, a part of which
-// is kept for others than the steps of jobs. The number of
-// dropped lines is logged once a second while there are any.
+// is kept for others than the steps of jobs. The number of dropped lines is
+// logged once a second while there are any.
 
 #ifndef SHELL_LOG_SINK_H_
 #define SHELL_LOG_SINK_H_
--- a/shell/own_wakeups.cc
+++ b/shell/own_wakeups.cc
@@ -23,12 +23,12 @@
 
 } // namespace
 
-bool
+void
 IgnoreOwnWakeups()
 {
   GMainContext* context = g_main_context_default();
   if (!g_main_context_acquire(context)) {
-    return false;
+    return;
   }
   gint priority = 0;
   gint timeoutMs = 0;
@@ -37,11 +37,10 @@
   gint count = g_main_context_query(context, G_MAXINT, &timeoutMs, found, 2);
   g_main_context_release(context);
   if (count != 1) {
-    return false;
+    return;
   }
   gWakeDescriptor = found[0].fd;
   g_main_context_set_poll_func(context, &PollWithoutOwnWakeups);
-  return true;
 }
 
 } // namespace cactusmast
--- a/shell/own_wakeups.h
+++ b/shell/own_wakeups.h
@@ -18,8 +18,9 @@
 namespace cactusmast {
 
 // Of the default main context. To be called before anything is attached to it:
-// the descriptor is then the only one. False when it is not; nothing changes.
-bool
+// the descriptor is then the only one. Where it is not, which only costs the
+// time named above, nothing changes.
+void
 IgnoreOwnWakeups();
 
 } // namespace cactusmast
--- a/shell/testing/http_server_test.cc
+++ b/shell/testing/http_server_test.cc
@@ -8,33 +8,14 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "shell/http_server.h"
+#include "shell/testing/loopback.h"
 
-namespace cactusmast {
+namespace cactusmast::testing {
 namespace {
 
 constexpr char kRequest[] =
   "POST /job HTTP/1.1\r\nHost: a.example\r\nContent-Length: 2\r\n\r\n{}";
 
-// A server on a free port of the loopback interface.
-std::unique_ptr<http_server>
-Serve(
-  http_server::handler aHandler,
-  uint16_t* aPort,
-  http_server::gone_handler aGone = [](uint64_t) {})
-{
-  for (uint16_t i = 0; i < 50; i++) {
-    *aPort = uint16_t(21000 + (getpid() * 11 + i * 317) % 20000);
-    result<std::unique_ptr<http_server>> made = http_server::Create(
-      "127.0.0.1:" + std::to_string(*aPort), 1024, aHandler, aGone);
-    if (made.Ok()) {
-      return std::move(made.Value());
-    }
-  }
-  FAIL("no free port");
-  return nullptr;
-}
-
 // A connection over which the request was sent.
 int
 SendRequest(uint16_t aPort)
@@ -50,18 +31,6 @@
   return fd;
 }
 
-void
-TurnUntil(const bool& aDone)
-{
-  gint64 end = g_get_monotonic_time() + 5 * G_USEC_PER_SEC;
-  while (!aDone && g_get_monotonic_time() < end) {
-    if (!g_main_context_iteration(nullptr, FALSE)) {
-      g_usleep(200);
-    }
-  }
-  REQUIRE(aDone);
-}
-
 } // namespace
 
 TEST_CASE("a request whose client has left is told from one that waits")
@@ -69,23 +38,20 @@
   // A process stands still while requests arrive. Their clients give up, close
   // their connections and send the requests elsewhere. The process wakes and
   // reads them; if it took them for live ones, a user's order would run twice.
-  uint16_t port = 0;
   bool handled = false;
   bool left = false;
-  std::unique_ptr<http_server> server = Serve(
-    [&](http_exchange& aOne) {
-      left = aOne.ClientLeft();
-      handled = true;
-    },
-    &port);
+  loopback_server server = ServeOnLoopback([&](http_exchange& aOne) {
+    left = aOne.ClientLeft();
+    handled = true;
+  });
 
-  int waiting = SendRequest(port);
+  int waiting = SendRequest(server.mPort);
   TurnUntil(handled);
   CHECK_FALSE(left);
   close(waiting);
 
   handled = false;
-  close(SendRequest(port));
+  close(SendRequest(server.mPort));
   TurnUntil(handled);
   CHECK(left);
 }
@@ -95,25 +61,23 @@
   // A caller hangs up while its job runs and sends the job to another entry
   // 1300 ms later. If the first entry did not notice, its tasks would go on
   // beside the second ones, and an order would be carried out twice.
-  uint16_t port = 0;
   bool handled = false;
   bool gone = false;
   uint64_t held = 0;
-  std::unique_ptr<http_server> server = Serve(
+  loopback_server server = ServeOnLoopback(
     [&](http_exchange& aOne) {
       held = aOne.Id();
       handled = true;
     },
-    &port,
     [&](uint64_t aId) { gone = aId == held; });
-  int client = SendRequest(port);
+  int client = SendRequest(server.mPort);
   TurnUntil(handled);
   CHECK_FALSE(gone);
   gint64 closed = g_get_monotonic_time();
   close(client);
   TurnUntil(gone);
   CHECK(g_get_monotonic_time() - closed < G_USEC_PER_SEC);
-  CHECK(server->Open() == 0);
+  CHECK(server.mServer->Open() == 0);
 }
 
-} // namespace cactusmast
+} // namespace cactusmast::testing
