Entries place on a subset of executors; connections without open work are quiet

Cause: every executor reported to every entry each 150 ms and every entry showed each executor as often that it lives, busy or not: at 35 entries and 160 executors some 37,000 messages a second each way. Entries also sent each other their whole list of addresses 227 times a second each.

Change: an entry subscribes to the reports of a subset of executors (own data centre first, then by rendezvous hash), places on these alone, widens while room is short and narrows after seconds of plenty. An executor reports to others only the ends of their tasks and changes of its state. Silence counts only where something has to be heard: at the entry while tasks are open there or a report was asked for, at the executor while tasks of the entry run. What remains is noticed by the kernel's keep-alive probes. Lists of addresses are sent when one is added. Switch for ablation: executor_subset.

The settle time and both silence limits are as before, and so is the proof in docs/PLATFORM.md: whoever holds a task hears from its entry every 150 ms.

Tests: executor_subset_test.cc and four of the executor fail without it.

--- a/cactusmast/entry_directory.cc
+++ b/cactusmast/entry_directory.cc
@@ -17,6 +17,8 @@
 constexpr duration kLongestPauseAtFirst = milliseconds(100);
 constexpr duration kRestartTime = std::chrono::seconds(8);
 constexpr duration kForgetAfter = std::chrono::seconds(60);
+// An entry that restarts is not news to those that it was named to before.
+constexpr duration kSeenFor = std::chrono::seconds(10);
 
 } // namespace
 
@@ -52,10 +54,11 @@
   if (found == mRecords.end()) {
     return;
   }
+  mRevision += IsSeen(found->second, aNow) ? 0 : 1;
   found->second.mUp = true;
+  found->second.mWasUp = true;
   found->second.mSince = aNow;
   found->second.mPause = kFirstPause;
-  mRevision++;
 }
 
 void
@@ -68,7 +71,6 @@
   found->second.mUp = false;
   found->second.mSince = aNow;
   found->second.mNextDial = aNow;
-  mRevision++;
 }
 
 std::vector<std::string>
@@ -93,19 +95,25 @@
   return due;
 }
 
+bool
+entry_directory::IsSeen(const record& aRecord, instant aNow)
+{
+  return aRecord.mUp || (aRecord.mWasUp && aNow - aRecord.mSince < kSeenFor);
+}
+
 std::vector<std::string>
-entry_directory::Live() const
+entry_directory::Seen(instant aNow) const
 {
-  std::vector<std::string> live;
+  std::vector<std::string> seen;
   for (const auto& [address, one] : mRecords) {
-    if (one.mUp) {
-      live.push_back(address);
+    if (IsSeen(one, aNow)) {
+      seen.push_back(address);
     }
   }
   if (!mOwn.empty()) {
-    live.push_back(mOwn);
+    seen.push_back(mOwn);
   }
-  return live;
+  return seen;
 }
 
 size_t
--- a/cactusmast/entry_directory.h
+++ b/cactusmast/entry_directory.h
@@ -32,10 +32,12 @@
 
   // Addresses to dial now; each is due again after a pause that doubles.
   std::vector<std::string> Due(instant aNow);
-  // All known addresses that are connected, and the own one if there is one.
-  std::vector<std::string> Live() const;
+  // All addresses that are connected or were a short while ago, and the own one
+  // if there is one. Only what this process has seen itself: addresses that
+  // processes named to each other would never be forgotten.
+  std::vector<std::string> Seen(instant aNow) const;
   size_t Connected() const;
-  // Changes whenever Live() does.
+  // Changes whenever an address is added to Seen().
   uint64_t Revision() const { return mRevision; }
 
 private:
@@ -43,11 +45,14 @@
   {
     bool mPinned = false;
     bool mUp = false;
-    instant mSince{}; // it is up, or was last up or learnt
+    bool mWasUp = false; // at some time
+    instant mSince{};    // it is up, or was last up or learnt
     instant mNextDial{};
     duration mPause{};
   };
 
+  static bool IsSeen(const record& aRecord, instant aNow);
+
   std::string mOwn;
   std::map<std::string, record> mRecords;
   uint64_t mRevision = 1;
--- a/cactusmast/events.h
+++ b/cactusmast/events.h
@@ -55,6 +55,7 @@
   StartNotMade = 341,
   StrayStopped = 342,
   ServerStateChanged = 343,
+  SubsetResized = 344,
   JobAccepted = 400,
   JobRefused = 401,
   JobDecided = 402,
--- a/cactusmast/job_coordinator.cc
+++ b/cactusmast/job_coordinator.cc
@@ -30,13 +30,15 @@
                                            : "invalid";
 }
 
-job_coordinator::job_coordinator(std::string aDataCenter,
+job_coordinator::job_coordinator(std::string aName,
+                                 std::string aDataCenter,
                                  coordinator_links& aLinks,
                                  job_answers& aAnswers,
                                  random_source& aRandom,
                                  event_sink& aEvents,
                                  const mechanism_set& aMechanisms)
-  : mDataCenter(std::move(aDataCenter))
+  : mName(std::move(aName))
+  , mDataCenter(std::move(aDataCenter))
   , mLinks(aLinks)
   , mAnswers(aAnswers)
   , mRandom(aRandom)
--- a/cactusmast/job_coordinator.h
+++ b/cactusmast/job_coordinator.h
@@ -1,8 +1,13 @@
 // The decisions of an entry for jobs whose caller waits for the answer.
 //
-// Each entry places the tasks of its own jobs on all executors; the executors
-// alone know what room there is. Nothing is stored: if this entry goes, its
-// executors stop the tasks, and the caller sends the job again.
+// Each entry places the tasks of its own jobs on a subset of the executors of
+// their service (executor_subset); the executors alone know what room there is.
+// Nothing is stored: if this entry goes, its executors stop the tasks, and the
+// caller sends the job again.
+//
+// Between an entry and an executor something is heard all the time only while
+// tasks are open there. Otherwise the connection is quiet, and whether the
+// other machine lives is left to the transport and to the first order.
 //
 // Invariants:
 // - A task has at most one attempt that may be running. After the connection
@@ -22,6 +27,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "cactusmast/executor_subset.h"
 #include "cactusmast/latency_histogram.h"
 #include "cactusmast/mechanisms.h"
 #include "cactusmast/placement.h"
@@ -36,8 +42,9 @@
 // executor notices (kOwnerSilence) or, if that is what died, until the lease
 // at the backend server ends; then comes the stop, which takes up to 50 ms.
 constexpr duration kSettleTime = kOwnerSilence + milliseconds(100);
-// An executor that has not been heard for this long is taken to be gone. It
-// reports every 150 ms.
+// An executor with tasks of this entry reports every 150 ms, and one that is
+// asked for a report sends it at once. One that has not been heard for this
+// long although it should have been is taken to be gone.
 constexpr duration kExecutorSilence = milliseconds(550);
 
 enum class job_ending : uint8_t
@@ -72,6 +79,7 @@
   virtual ~coordinator_links() = default;
   virtual void Start(peer_id aExecutor, wire::start_tasks_msg aOrder) = 0;
   virtual void Stop(peer_id aExecutor, wire::stop_tasks_msg aOrder) = 0;
+  virtual void Subscribe(peer_id aExecutor, bool aWanted) = 0;
   virtual void Drop(peer_id aExecutor) = 0;
 };
 
@@ -105,7 +113,9 @@
 class job_coordinator
 {
 public:
-  job_coordinator(std::string aDataCenter,
+  // aName: of the entry, as in its settings.
+  job_coordinator(std::string aName,
+                  std::string aDataCenter,
                   coordinator_links& aLinks,
                   job_answers& aAnswers,
                   random_source& aRandom,
@@ -135,6 +145,10 @@
   uint32_t UnstartedJobs(const std::string& aRoute) const;
   // Executors that can be reached and whose backend server is ready.
   size_t ReadyServers() const;
+  // Executors that tasks are placed on.
+  size_t PlaceableServers() const;
+  // The executor must hear from this entry all the time.
+  bool HasTasksAt(peer_id aExecutor) const;
   const coordinator_counters& Counters() const { return mCounters; }
   wait_model& Waits() { return mWaits; }
 
@@ -180,8 +194,10 @@
 
   struct executor
   {
-    size_t mView = 0; // index in mViews
+    size_t mView = 0;                   // index in mViews
+    executor_subset* mSubset = nullptr; // of its service, once that is known
     instant mHeardAt{};
+    instant mAwaitedSince{}; // zero: nothing need be heard
     uint64_t mLastOffer = 0;
     // What was ordered and not yet accounted for by a report.
     std::map<uint64_t, task_size> mUnreported;
@@ -223,9 +239,17 @@
                                  instant aNow);
   placement_verdict PlaceOne(job& aJob,
                              const task_key& aKey,
-                             placement_request aRequest);
+                             placement_request aRequest,
+                             instant aNow);
   void SendOrders(instant aNow);
   void RefreshFree(executor& aAt);
+  // Subscribes to new members of the subset, and no longer to former ones.
+  void UpdateSubset(executor_subset& aSubset, instant aNow);
+  // By the service that aAt's backend server belongs to.
+  void AssignSubset(executor& aAt, const std::string& aService);
+  // After a placing that left aUnplaced without a place.
+  void ResizeSubsets(const std::vector<task_key>& aUnplaced, instant aNow);
+  void Await(executor& aAt, instant aNow);
   task* CurrentAttempt(peer_id aPeer, const task_key& aKey, uint32_t aAttempt);
   void OnTooSlow(peer_id aPeer,
                  const wire::task_forecast& aForecast,
@@ -245,6 +269,7 @@
   void DropSilentExecutors(instant aNow);
   void LogOutcome(const job& aJob, const job_outcome& aOutcome, instant aNow);
 
+  std::string mName;
   std::string mDataCenter;
   coordinator_links& mLinks;
   job_answers& mAnswers;
@@ -259,6 +284,7 @@
   std::set<std::pair<instant, uint64_t>> mDeadlines;
   std::map<peer_id, executor> mExecutors;
   std::vector<server_view> mViews;
+  std::map<std::string, executor_subset> mSubsets; // by service
   slowness_range mSlowness; // of mViews, as of the last placing
   bool mRoomChanged = false;
   instant mPlacedAt{};          // when all that waits was last tried
--- a/cactusmast/job_coordinator_executors.cc
+++ b/cactusmast/job_coordinator_executors.cc
@@ -45,6 +45,7 @@
   view.mPeer = aPeer;
   view.mName = aWho.mName;
   view.mDataCenter = aWho.mDataCenter;
+  view.mPlaceable = false; // until it has reported
   mViews.push_back(view);
 }
 
@@ -57,6 +58,7 @@
   }
   std::set<task_key> unsure = std::move(found->second.mTasks);
   size_t index = found->second.mView;
+  executor_subset* subset = found->second.mSubset;
   mExecutors.erase(found);
   mViews.erase(mViews.begin() + long(index));
   for (auto& [peer, other] : mExecutors) {
@@ -64,6 +66,10 @@
       other.mView--;
     }
   }
+  if (subset != nullptr) {
+    subset->Remove(aPeer);
+    UpdateSubset(*subset, aNow);
+  }
   for (const task_key& key : unsure) {
     Settle(key, aNow + kSettleTime);
   }
@@ -125,7 +131,10 @@
                    { "now", std::string(Name(state)) } });
   }
   view.mState = state;
-  view.mService = aSaid.service;
+  if (at.mSubset == nullptr || view.mService != aSaid.service) {
+    view.mService = aSaid.service;
+    AssignSubset(at, aSaid.service);
+  }
   view.mCapacity = { aSaid.cpu_millis, aSaid.memory_mb, aSaid.gpus };
   view.mQueuedCpuMillis = aSaid.queued_cpu_millis;
   view.mSlowness = aSaid.slowness_permille / 1000.0;
@@ -139,6 +148,10 @@
   at.mUnreported.erase(at.mUnreported.begin(),
                        at.mUnreported.upper_bound(aSaid.last_offer));
   RefreshFree(at);
+  at.mAwaitedSince = at.mTasks.empty() ? instant{} : at.mAwaitedSince;
+  at.mSubset->SetUsable(aPeer, state == server_state::Ready);
+  UpdateSubset(*at.mSubset, aNow);
+  view.mPlaceable = at.mSubset->Has(aPeer);
   mRoomChanged = true;
   for (const wire::task_end& end : aSaid.ends) {
     OnEnd(aPeer, end, aNow);
@@ -311,12 +324,79 @@
   }
 }
 
+void
+job_coordinator::Await(executor& aAt, instant aNow)
+{
+  if (aAt.mAwaitedSince.count() == 0) {
+    aAt.mAwaitedSince = aNow;
+  }
+}
+
+void
+job_coordinator::AssignSubset(executor& aAt, const std::string& aService)
+{
+  const server_view& view = mViews[aAt.mView];
+  if (aAt.mSubset != nullptr) {
+    aAt.mSubset->Remove(view.mPeer);
+  }
+  bool limited = mMechanisms.Has(mechanism::ExecutorSubset);
+  auto [found, added] = mSubsets.try_emplace(
+    aService, mName, mDataCenter, limited ? kLeastSubset : kWholeFleet);
+  aAt.mSubset = &found->second;
+  aAt.mSubset->Add(view.mPeer, view.mName, view.mDataCenter);
+}
+
+void
+job_coordinator::UpdateSubset(executor_subset& aSubset, instant aNow)
+{
+  executor_subset::change change = aSubset.Update();
+  for (peer_id peer : change.mJoined) {
+    Await(mExecutors.at(peer), aNow);
+    mLinks.Subscribe(peer, true);
+  }
+  for (peer_id peer : change.mLeft) {
+    auto found = mExecutors.find(peer);
+    if (found != mExecutors.end()) {
+      mViews[found->second.mView].mPlaceable = false;
+      mLinks.Subscribe(peer, false);
+    }
+  }
+}
+
+void
+job_coordinator::ResizeSubsets(const std::vector<task_key>& aUnplaced,
+                               instant aNow)
+{
+  std::set<std::string_view> shortOf;
+  for (const task_key& key : aUnplaced) {
+    auto found = mJobs.find(key.mJob);
+    if (found != mJobs.end()) {
+      shortOf.insert(found->second.mRoute->mService);
+    }
+  }
+  for (auto& [service, subset] : mSubsets) {
+    double freeShare = FreeShare(mViews, service);
+    bool isShort = shortOf.count(service) > 0;
+    if (!subset.NoteRoom(freeShare, isShort, aNow)) {
+      continue;
+    }
+    mEvents.Emit(event_code::SubsetResized,
+                 { { "service", service },
+                   { "size", std::to_string(subset.Size()) },
+                   { "free_share", std::to_string(freeShare) },
+                   { "unplaced", isShort ? "yes" : "no" } });
+    UpdateSubset(subset, aNow);
+  }
+}
+
 void
 job_coordinator::DropSilentExecutors(instant aNow)
 {
   std::vector<peer_id> silent;
   for (const auto& [peer, at] : mExecutors) {
-    if (aNow - at.mHeardAt > kExecutorSilence) {
+    bool awaited = at.mAwaitedSince.count() != 0;
+    instant since = std::max(at.mHeardAt, at.mAwaitedSince);
+    if (awaited && aNow - since > kExecutorSilence) {
       silent.push_back(peer);
     }
   }
@@ -328,6 +408,22 @@
   }
 }
 
+bool
+job_coordinator::HasTasksAt(peer_id aExecutor) const
+{
+  auto found = mExecutors.find(aExecutor);
+  return found != mExecutors.end() && !found->second.mTasks.empty();
+}
+
+size_t
+job_coordinator::PlaceableServers() const
+{
+  return size_t(
+    std::count_if(mViews.begin(), mViews.end(), [](const server_view& aView) {
+      return aView.mPlaceable && aView.mState == server_state::Ready;
+    }));
+}
+
 size_t
 job_coordinator::ReadyServers() const
 {
--- a/cactusmast/job_coordinator_placement.cc
+++ b/cactusmast/job_coordinator_placement.cc
@@ -68,8 +68,10 @@
   bool timelyFirst = mMechanisms.Has(mechanism::TimelyFirst);
   std::vector<task_key> late =
     timelyFirst ? PlaceAll(aOrder, placement_aim::InObjective, aNow) : aOrder;
-  PlaceAll(ShedLate(late, aNow), placement_aim::BeforeDeadline, aNow);
+  std::vector<task_key> unplaced =
+    PlaceAll(ShedLate(late, aNow), placement_aim::BeforeDeadline, aNow);
   SendOrders(aNow);
+  ResizeSubsets(unplaced, aNow);
   std::set<uint64_t> hopeless = std::move(mHopeless);
   mHopeless.clear();
   for (uint64_t id : hopeless) {
@@ -143,7 +145,7 @@
       left.push_back(key);
       continue;
     }
-    placement_verdict verdict = PlaceOne(owner, key, request);
+    placement_verdict verdict = PlaceOne(owner, key, request, aNow);
     if (verdict == placement_verdict::Place) {
       continue;
     }
@@ -184,7 +186,8 @@
 placement_verdict
 job_coordinator::PlaceOne(job& aJob,
                           const task_key& aKey,
-                          placement_request aRequest)
+                          placement_request aRequest,
+                          instant aNow)
 {
   task& one = TaskOf(aJob, aKey);
   const job_step& step = *aRequest.mStep;
@@ -203,7 +206,9 @@
   one.mState = task_state::Placed;
   one.mAt = view.mPeer;
   one.mAttempt++;
-  mExecutors[view.mPeer].mTasks.insert(aKey);
+  executor& at = mExecutors[view.mPeer];
+  at.mTasks.insert(aKey);
+  Await(at, aNow);
   auto estimateMs = uint32_t(aRequest.mEstimateMs);
   mOrders[{ view.mPeer, aKey.mJob, aKey.mStep, estimateMs }].push_back(
     aKey.mIndex);
--- a/cactusmast/mechanisms.cc
+++ b/cactusmast/mechanisms.cc
@@ -7,9 +7,10 @@
 namespace {
 
 constexpr std::array<std::string_view, size_t(mechanism::Count)> kMechanisms = {
-  "hold_at_start",   "wait_forecasts", "timely_first",    "late_refused",
-  "slow_task_moves", "scarcity_price", "stuck_limit",     "server_recall",
-  "early_return",    "learned_speed",  "illness_noticed", "report_spacing"
+  "hold_at_start",   "wait_forecasts", "timely_first",  "late_refused",
+  "slow_task_moves", "scarcity_price", "stuck_limit",   "executor_subset",
+  "server_recall",   "early_return",   "learned_speed", "illness_noticed",
+  "report_spacing"
 };
 
 } // namespace
--- a/cactusmast/mechanisms.h
+++ b/cactusmast/mechanisms.h
@@ -25,6 +25,7 @@
   SlowTaskMoves,  // tasks that run too slowly start anew elsewhere
   ScarcityPrice,  // the last room of fast backend servers costs more
   StuckLimit,     // few steps that find no place are tried at a time
+  ExecutorSubset, // tasks go to a subset of the executors
                   // At executors.
   ServerRecall,   // the backend server is known from the store after a restart
   EarlyReturn,    // an order that cannot start in its time goes back at once
--- a/cactusmast/placement.cc
+++ b/cactusmast/placement.cc
@@ -50,12 +50,17 @@
          aView.mLabels.end();
 }
 
+bool
+IsUsable(const server_view& aView)
+{
+  return aView.mPlaceable && aView.mState == server_state::Ready;
+}
+
 bool
 Suits(const server_view& aView, const placement_request& aRequest)
 {
   const job_step& step = *aRequest.mStep;
-  return aView.mState == server_state::Ready &&
-         aView.mService == aRequest.mService &&
+  return IsUsable(aView) && aView.mService == aRequest.mService &&
          aView.mPeer != aRequest.mAvoid && step.mSize.FitsIn(aView.mCapacity) &&
          (step.mRequiredLabel.empty() || HasLabel(aView, step.mRequiredLabel));
 }
@@ -93,7 +98,7 @@
 {
   std::vector<double> all;
   for (const server_view& view : aViews) {
-    if (view.mState == server_state::Ready) {
+    if (IsUsable(view)) {
       all.push_back(view.mSlowness);
     }
   }
@@ -210,7 +215,7 @@
   int64_t free = 0;
   int64_t all = 0;
   for (const server_view& view : aViews) {
-    if (view.mState == server_state::Ready && view.mService == aService) {
+    if (IsUsable(view) && view.mService == aService) {
       free += std::max<int64_t>(0, view.mFree.mCpuMillis);
       all += view.mCapacity.mCpuMillis;
     }
--- a/cactusmast/placement.h
+++ b/cactusmast/placement.h
@@ -32,6 +32,8 @@
   std::string mService;
   std::string mDataCenter;
   server_state mState = server_state::Absent;
+  // False where the entry's belief about room is too old to place on.
+  bool mPlaceable = true;
   task_size mCapacity;
   task_size mFree;
   int64_t mQueuedCpuMillis = 0;
@@ -118,7 +120,7 @@
 placement_forecast
 Forecast(const server_view& aView, const placement_request& aRequest);
 
-// Of all ready backend servers; 1 when none is ready.
+// Of all ready backend servers that can be placed on; 1 when there are none.
 struct slowness_range
 {
   double mLeast = 1;
@@ -138,8 +140,8 @@
              const placement_request& aRequest,
              random_source& aRandom);
 
-// The part of the processors of a service's ready backend servers that is
-// unused; 0 when there are none.
+// The part of the processors that is unused, of a service's ready backend
+// servers that can be placed on; 0 when there are none.
 double
 FreeShare(const std::vector<server_view>& aViews, const std::string& aService);
 
--- a/cactusmast/task_executor.cc
+++ b/cactusmast/task_executor.cc
@@ -92,6 +92,17 @@
   }
 }
 
+void
+task_executor::OnSubscription(peer_id aEntry, bool aWanted, instant aNow)
+{
+  OnPulse(aEntry, aNow);
+  auto found = mEntries.find(aEntry);
+  if (found != mEntries.end()) {
+    found->second.mSubscribed = aWanted;
+    found->second.mAsked = aWanted;
+  }
+}
+
 void
 task_executor::OnStartTasks(peer_id aEntry,
                             const wire::start_tasks_msg& aOrder,
@@ -156,6 +167,7 @@
   made.mStartBy = startBy;
   made.mStopBy = aNow + milliseconds(aOrder.stop_after_ms);
   mQueue.insert({ made.mUrgentAt, key });
+  mEntries[aEntry].mOpenTasks++;
 }
 
 void
@@ -368,6 +380,7 @@
     uint32_t runMs =
       one.mOrderedAt.count() == 0 ? 0 : uint32_t(ToMs(aNow - one.mOrderedAt));
     owner->second.mEnds.push_back(EndOf(aKey, one.mAttempt, runMs, aOutcome));
+    owner->second.mOpenTasks--;
   }
   mTasks.erase(found);
   MarkChanged();
@@ -384,10 +397,12 @@
 void
 task_executor::DropSilentEntries(instant aNow)
 {
-  std::vector<peer_id> silent;
-  for (const auto& [peer, entry] : mEntries) {
-    if (aNow - entry.mHeardAt > kOwnerSilence) {
-      silent.push_back(peer);
+  // An entry without tasks here has no reason to say anything.
+  std::set<peer_id> silent;
+  for (const auto& [key, one] : mTasks) {
+    bool needsOwner = one.mOwner != 0 && !one.mStopping;
+    if (needsOwner && aNow - mEntries.at(one.mOwner).mHeardAt > kOwnerSilence) {
+      silent.insert(one.mOwner);
     }
   }
   for (peer_id peer : silent) {
@@ -468,21 +483,52 @@
   return said;
 }
 
+size_t
+task_executor::SubscribedEntries() const
+{
+  return size_t(
+    std::count_if(mEntries.begin(), mEntries.end(), [](const auto& aEntry) {
+      return aEntry.second.mSubscribed;
+    }));
+}
+
+duration
+task_executor::ReportSpacing() const
+{
+  if (!mMechanisms.Has(mechanism::ReportSpacing)) {
+    return {};
+  }
+  return std::min(kQuietReportInterval,
+                  kReportSpacing * int64_t(SubscribedEntries()));
+}
+
+bool
+task_executor::IsReportDue(const entry_link& aEntry,
+                           server_state aState,
+                           duration aSpacing,
+                           instant aNow) const
+{
+  bool news = !aEntry.mEnds.empty() || !aEntry.mTooSlow.empty() ||
+              aEntry.mAsked || aEntry.mToldState != aState;
+  if (news) {
+    return true;
+  }
+  duration since = aNow - aEntry.mReportedAt;
+  if (aEntry.mOpenTasks > 0 && since >= kQuietReportInterval) {
+    return true;
+  }
+  duration interval = aEntry.mChanged ? aSpacing : kIdleReportInterval;
+  return aEntry.mSubscribed && since >= interval;
+}
+
 void
 task_executor::SendReports(instant aNow)
 {
   std::optional<wire::server_report_msg> said; // the same for all entries
-  duration interval =
-    std::min(kQuietReportInterval, kReportSpacing * int64_t(mEntries.size()));
-  if (!mMechanisms.Has(mechanism::ReportSpacing)) {
-    interval = duration{};
-  }
+  server_state state = State(aNow);
+  duration spacing = ReportSpacing();
   for (auto& [peer, entry] : mEntries) {
-    duration since = aNow - entry.mReportedAt;
-    bool due = !entry.mEnds.empty() || !entry.mTooSlow.empty() ||
-               (entry.mChanged && since >= interval) ||
-               since >= kQuietReportInterval;
-    if (!due) {
+    if (!IsReportDue(entry, state, spacing, aNow)) {
       continue;
     }
     if (!said) {
@@ -495,6 +541,8 @@
     said->last_offer = entry.mLastOffer;
     entry.mReportedAt = aNow;
     entry.mChanged = false;
+    entry.mAsked = false;
+    entry.mToldState = state;
     mLinks.Report(peer, *said);
   }
 }
--- a/cactusmast/task_executor.h
+++ b/cactusmast/task_executor.h
@@ -36,10 +36,10 @@
 
 using std::chrono::milliseconds;
 
-// An entry shows every kPulseInterval that it lives. After kOwnerSilence its
-// tasks are stopped. Callers send a job again 1300 ms after they lost its
-// entry, which leaves time for the stop; three pulses may be late before it
-// comes to that.
+// An entry with tasks here shows every kPulseInterval that it lives. After
+// kOwnerSilence they are stopped. Callers send a job again 1300 ms after they
+// lost its entry, which leaves time for the stop; three pulses may be late
+// before it comes to that.
 constexpr duration kPulseInterval = milliseconds(150);
 constexpr duration kOwnerSilence = milliseconds(550);
 
@@ -79,6 +79,8 @@
   void OnEntryUp(peer_id aEntry, const std::string& aName, instant aNow);
   void OnEntryDown(peer_id aEntry, instant aNow);
   void OnPulse(peer_id aEntry, instant aNow);
+  // Whether the entry wants a report of each change of room.
+  void OnSubscription(peer_id aEntry, bool aWanted, instant aNow);
   void OnStartTasks(peer_id aEntry,
                     const wire::start_tasks_msg& aOrder,
                     instant aNow);
@@ -123,6 +125,8 @@
   size_t Queued() const { return mQueue.size(); }
   double Slowness() const;
   const task_size& Free() const { return mFree; }
+  // Entries that want a report of each change of room.
+  size_t SubscribedEntries() const;
 
 private:
   enum class task_state : uint8_t
@@ -170,6 +174,10 @@
     std::vector<wire::task_end> mEnds;
     std::vector<wire::task_forecast> mTooSlow;
     bool mChanged = true;
+    bool mSubscribed = false;
+    bool mAsked = true;      // for a report at once
+    uint32_t mOpenTasks = 0; // that it ordered and that have not ended
+    server_state mToldState = server_state::Absent;
   };
 
   using queue_key = std::pair<instant, task_key>;
@@ -217,6 +225,12 @@
   // A report without what is the receiving entry's alone.
   wire::server_report_msg DescribeServer(instant aNow) const;
   void SendReports(instant aNow);
+  bool IsReportDue(const entry_link& aEntry,
+                   server_state aState,
+                   duration aSpacing,
+                   instant aNow) const;
+  // Between reports of changes to one entry.
+  duration ReportSpacing() const;
   int64_t LeaseUntil(instant aNow);
   void MarkChanged();
   uint32_t NextRun(const task_key& aKey);
--- a/cactusmast/task_executor_limits.h
+++ b/cactusmast/task_executor_limits.h
@@ -11,13 +11,15 @@
 using std::chrono::milliseconds;
 
 // Reports go out at once with ends, else when something changed, but to each of
-// n entries no more often than every n times this: 125 a second in all, however
-// many entries there are. An entry knows what it ordered itself, and what
-// others ordered reaches it with the ends of its own tasks as well; each report
-// costs it processor time.
+// n subscribed entries no more often than every n times this: 125 a second in
+// all, however many entries there are. An entry knows what it ordered itself,
+// and what others ordered reaches it with the ends of its own tasks as well;
+// each report costs it processor time.
 constexpr duration kReportSpacing = milliseconds(8);
-// Unasked, so that entries can tell silence from calm.
+// To an entry with open tasks here, so that it can tell silence from calm.
 constexpr duration kQuietReportInterval = milliseconds(150);
+// To a subscribed entry without any, whose belief about room is to be renewed.
+constexpr duration kIdleReportInterval = milliseconds(1000);
 // An unanswered stop is repeated: it may have been lost, and its answer is
 // what settles the attempt.
 constexpr duration kStopRetry = milliseconds(40);
--- a/cactusmast/task_executor_looks.cc
+++ b/cactusmast/task_executor_looks.cc
@@ -147,7 +147,10 @@
   if (!strays) {
     mStrayStops.clear();
   }
-  mStrays = strays;
+  if (mStrays != strays) {
+    mStrays = strays;
+    MarkChanged(); // with strays there is no room
+  }
   std::vector<task_key> gone;
   for (const auto& [key, one] : mTasks) {
     bool settled = one.mState != task_state::Queued &&
--- /dev/null
+++ b/cactusmast/testing/executor_subset_test.cc
@@ -0,0 +1,227 @@
+// Which executors entries take into their subsets, and how the size follows
+// the room.
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include "cactusmast/executor_subset.h"
+#include "cactusmast/testing/sized_world.h"
+
+namespace cactusmast::testing {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr double kMuchRoom = 0.7;
+constexpr double kLittleRoom = 0.05;
+
+std::string
+ExecutorName(peer_id aPeer)
+{
+  return "side-" + std::to_string(aPeer);
+}
+
+// A subset with executors 1 to aCount, all ready, spread over aDataCenters.
+executor_subset
+MakeSubset(const std::string& aOwner, size_t aCount, size_t aDataCenters)
+{
+  executor_subset made(aOwner, "dc-0");
+  for (peer_id peer = 1; peer <= aCount; peer++) {
+    std::string place = "dc-" + std::to_string(peer % aDataCenters);
+    made.Add(peer, ExecutorName(peer), place);
+    made.SetUsable(peer, true);
+  }
+  return made;
+}
+
+std::set<peer_id>
+Members(const executor_subset& aSubset, size_t aCount)
+{
+  std::set<peer_id> members;
+  for (peer_id peer = 1; peer <= aCount; peer++) {
+    if (aSubset.Has(peer)) {
+      members.insert(peer);
+    }
+  }
+  return members;
+}
+
+} // namespace
+
+TEST_CASE("a small fleet is in every entry's subset whole")
+{
+  executor_subset subset = MakeSubset("entry", 11, 4);
+  CHECK(subset.Update().mJoined.size() == 11);
+  CHECK(Members(subset, 11).size() == 11);
+}
+
+TEST_CASE("a subset takes executors of its own data centre first")
+{
+  executor_subset subset = MakeSubset("entry", 160, 8);
+  subset.Update();
+  std::set<peer_id> members = Members(subset, 160);
+  CHECK(members.size() == kLeastSubset);
+  for (peer_id near = 8; near <= 160; near += 8) {
+    CHECK(members.count(near) == 1);
+  }
+}
+
+TEST_CASE("subsets of many entries cover the fleet evenly")
+{
+  std::map<peer_id, size_t> uses;
+  constexpr size_t kEntries = 40;
+  constexpr size_t kExecutors = 160;
+  for (size_t i = 0; i < kEntries; i++) {
+    executor_subset subset =
+      MakeSubset("entry-" + std::to_string(i), kExecutors, 1);
+    subset.Update();
+    for (peer_id peer : Members(subset, kExecutors)) {
+      uses[peer]++;
+    }
+  }
+  CHECK(uses.size() == kExecutors);
+  for (const auto& [peer, count] : uses) {
+    CHECK(count <= 3 * kEntries * kLeastSubset / kExecutors);
+  }
+}
+
+TEST_CASE("a member that is lost is replaced by one other")
+{
+  executor_subset subset = MakeSubset("entry", 100, 1);
+  subset.Update();
+  std::set<peer_id> before = Members(subset, 100);
+  subset.Remove(*before.begin());
+  executor_subset::change change = subset.Update();
+  CHECK(change.mJoined.size() == 1);
+  CHECK(change.mLeft.empty());
+  CHECK(Members(subset, 100).size() == kLeastSubset);
+}
+
+TEST_CASE("a member that cannot take tasks makes room for another")
+{
+  executor_subset subset = MakeSubset("entry", 100, 1);
+  subset.Update();
+  peer_id ill = *Members(subset, 100).begin();
+  subset.SetUsable(ill, false);
+  executor_subset::change change = subset.Update();
+  CHECK(change.mLeft == std::vector<peer_id>{ ill });
+  CHECK(change.mJoined.size() == 1);
+}
+
+TEST_CASE("a subset is widened while its room is short, up to a limit")
+{
+  executor_subset subset = MakeSubset("entry", 500, 1);
+  instant now = seconds(1);
+  for (int i = 0; i < 100; i++) {
+    now += milliseconds(20);
+    subset.NoteRoom(kLittleRoom, false, now);
+  }
+  subset.Update();
+  CHECK(Members(subset, 500).size() == kMostSubset);
+}
+
+TEST_CASE("a subset is narrowed only after seconds of plenty")
+{
+  executor_subset subset = MakeSubset("entry", 500, 1);
+  instant now = seconds(1);
+  subset.NoteRoom(kLittleRoom, false, now);
+  size_t wide = subset.Size();
+  CHECK(wide > kLeastSubset);
+  subset.NoteRoom(kMuchRoom, false, now + seconds(2));
+  CHECK(subset.Size() == wide);
+  for (int i = 0; i < 60; i++) {
+    subset.NoteRoom(kMuchRoom, false, now + seconds(6 + i));
+  }
+  CHECK(subset.Size() == kLeastSubset);
+}
+
+TEST_CASE("random changes: members are the first usable ones in the order")
+{
+  std::mt19937 random(7);
+  constexpr size_t kExecutors = 120;
+  executor_subset subset = MakeSubset("entry", kExecutors, 3);
+
+  std::set<peer_id> usable;
+  for (peer_id peer = 1; peer <= kExecutors; peer++) {
+
+    usable.insert(peer);
+  }
+  std::set<peer_id> told;
+  for (int step = 0; step < 2000; step++) {
+    peer_id peer = 1 + random() % kExecutors;
+    bool isUsable = random() % 3 > 0;
+    subset.SetUsable(peer, isUsable);
+    isUsable ? (void)usable.insert(peer) : (void)usable.erase(peer);
+    executor_subset::change change = subset.Update();
+    for (peer_id left : change.mLeft) {
+      REQUIRE(told.erase(left) == 1);
+    }
+    for (peer_id joined : change.mJoined) {
+      REQUIRE(told.insert(joined).second);
+    }
+    std::set<peer_id> members = Members(subset, kExecutors);
+    REQUIRE(told == members);
+    REQUIRE(members.size() == std::min(usable.size(), kLeastSubset));
+    REQUIRE(std::includes(
+      usable.begin(), usable.end(), members.begin(), members.end()));
+  }
+}
+
+TEST_CASE("a subset whose executors all go is replaced, and no job fails")
+{
+  // Guards against an entry that refuses while executors outside its subset
+  // have room.
+  constexpr size_t kServers = 60;
+  sized_world world(1, kServers, 70);
+  world.Run(milliseconds(200));
+  for (size_t i = 0; i < kServers; i++) {
+    if (world.Executor(i).SubscribedEntries() > 0) {
+      world.KillExecutor(i, seconds(30));
+    }
+  }
+  world.Run(milliseconds(100));
+  for (int i = 0; i < 50; i++) {
+    world.At(milliseconds(10 * i), [&world] { world.Submit(0, 4, 60); });
+  }
+  world.Run(seconds(2));
+  CHECK(world.CountEnding(job_ending::Completed) == 50);
+  CHECK(world.CountInTime(milliseconds(156)) == 50);
+  CHECK(world.Violations().empty());
+}
+
+TEST_CASE("more work than a subset holds reaches executors outside it")
+{
+  // Guards against an entry that gets most of the callers and leaves the
+  // backend servers of the others idle.
+  constexpr size_t kServers = 60;
+  sized_world world(1, kServers, 71);
+  world.Run(milliseconds(200));
+  for (int i = 0; i < 12; i++) {
+    world.At(milliseconds(50 * i), [&world] { world.Submit(0, 40, 1000); });
+  }
+  world.Run(seconds(4));
+  CHECK(world.CountEnding(job_ending::Completed) == 12);
+  CHECK(world.CountInTime(milliseconds(1660)) == 12);
+  CHECK(world.Violations().empty());
+}
+
+TEST_CASE("an executor that vanished while idle costs its first tasks a second")
+{
+  // Guards against orders into a connection that is dead: nothing is expected
+  // over a quiet one, so the order itself has to show it.
+  sized_world world(1, 2, 72);
+  world.Run(seconds(2));
+  world.Cut(0, 0, seconds(20));
+  std::vector<uint64_t> jobs;
+  for (int i = 0; i < 3; i++) {
+    jobs.push_back(world.Submit(0, 4, 500, 5000));
+  }
+  world.Run(seconds(5));
+  for (uint64_t job : jobs) {
+    CHECK(world.LastOf(job).mEnding == job_ending::Completed);
+  }
+  CHECK(world.Violations().empty());
+}
+
+} // namespace cactusmast::testing
--- a/cactusmast/testing/sized_world.cc
+++ b/cactusmast/testing/sized_world.cc
@@ -10,6 +10,8 @@
 constexpr duration kResend = milliseconds(1300);
 constexpr duration kDialInterval = milliseconds(100);
 constexpr duration kHeartbeat = milliseconds(1500);
+// A connection over which nothing passes is given up by both sides.
+constexpr duration kKeepAlive = milliseconds(3000);
 
 } // namespace
 
@@ -24,7 +26,8 @@
     : mWorld(aWorld)
     , mIndex(aIndex)
     , mLife(aWorld.mNextLife++)
-    , mCore(std::make_unique<job_coordinator>("a",
+    , mCore(std::make_unique<job_coordinator>("entry" + std::to_string(aIndex),
+                                              "a",
                                               *this,
                                               *this,
                                               *this,
@@ -46,6 +49,14 @@
       mWorld.Executor(way.mServer).OnStopTasks(aExecutor, aOrder, mWorld.mNow);
     });
   }
+  void Subscribe(peer_id aExecutor, bool aWanted) override
+  {
+    mWorld.Send(aExecutor, true, [this, aExecutor, aWanted] {
+      const link& way = mWorld.mLinks.at(aExecutor);
+      mWorld.Executor(way.mServer)
+        .OnSubscription(aExecutor, aWanted, mWorld.mNow);
+    });
+  }
   void Drop(peer_id aExecutor) override
   {
     mWorld.CloseLink(aExecutor, false, true);
@@ -202,7 +213,7 @@
     std::vector<peer_id> own;
     for (const auto& [id, way] : mLinks) {
       if (way.mUp && way.mEntry == one->mIndex &&
-          way.mEntryLife == one->mLife) {
+          way.mEntryLife == one->mLife && one->mCore->HasTasksAt(id)) {
         own.push_back(id);
       }
     }
@@ -350,6 +361,34 @@
 sized_world::Cut(size_t aEntry, size_t aServer, duration aSpan)
 {
   mCuts[{ aEntry, aServer }] = mNow + aSpan;
+  if (aSpan < kKeepAlive) {
+    return;
+  }
+  for (const auto& [id, way] : mLinks) {
+    if (way.mEntry == aEntry && way.mServer == aServer) {
+      At(kKeepAlive, [this, id = id] { GiveUpLink(id); });
+    }
+  }
+}
+
+void
+sized_world::GiveUpLink(peer_id aLink)
+{
+  link way = mLinks.at(aLink);
+  if (!way.mUp) {
+    return;
+  }
+  mLinks.at(aLink).mUp = false;
+  if (mEntries[way.mEntry]->mLife == way.mEntryLife) {
+    Deliver(false, way.mEntry, [this, aLink, way] {
+      Coordinator(way.mEntry).OnExecutorDown(aLink, mNow);
+    });
+  }
+  if (mExecutors[way.mServer]->mLife == way.mExecutorLife) {
+    Deliver(true, way.mServer, [this, aLink, way] {
+      Executor(way.mServer).OnEntryDown(aLink, mNow);
+    });
+  }
 }
 
 void
--- a/cactusmast/testing/sized_world.h
+++ b/cactusmast/testing/sized_world.h
@@ -170,6 +170,8 @@
   void Send(peer_id aLink, bool aToExecutor, std::function<void()> aDeliver);
   void Deliver(bool aToExecutor, size_t aIndex, std::function<void()> aDo);
   void CloseLink(peer_id aLink, bool aTellEntry, bool aTellExecutor);
+  // Both sides notice by themselves.
+  void GiveUpLink(peer_id aLink);
   void Hand(const job_request& aRequest, size_t aEntry);
   void OnAnswer(caller_id aCaller, const job_outcome& aOutcome);
   bool IsCut(size_t aEntry, size_t aServer) const;
--- a/cactusmast/testing/task_executor_test.cc
+++ b/cactusmast/testing/task_executor_test.cc
@@ -29,13 +29,16 @@
 public:
   void Report(peer_id, const wire::server_report_msg& aSaid) override
   {
+    mReports++;
     for (const wire::task_end& end : aSaid.ends) {
       mOutcomes.push_back(attempt_outcome(end.outcome()));
     }
   }
-  void Drop(peer_id) override {}
+  void Drop(peer_id) override { mDrops++; }
 
   std::vector<attempt_outcome> mOutcomes;
+  uint32_t mReports = 0;
+  uint32_t mDrops = 0;
 };
 
 // An executor whose backend server is known.
@@ -96,6 +99,17 @@
     mExecutor.Tick(mNow);
   }
 
+  // The entry says nothing; looks are answered.
+  void PassInSilence(duration aSpan, const std::vector<running_task>& aRunning)
+  {
+    instant end = mNow + aSpan;
+    while (mNow < end) {
+      mNow += milliseconds(10);
+      mExecutor.Tick(mNow);
+      Look(aRunning, {});
+    }
+  }
+
   instant mNow = seconds(50);
   silent_events mEvents;
   recorded_links mLinks;
@@ -219,4 +233,53 @@
   CHECK(world.mLinks.mOutcomes[0] == attempt_outcome::Done);
 }
 
+TEST_CASE("an entry without tasks here may be silent as long as it likes")
+{
+  known_server world;
+  world.PassInSilence(seconds(20), {});
+  CHECK(world.mLinks.mDrops == 0);
+}
+
+TEST_CASE("an entry that falls silent with a task here loses it in time")
+{
+  // Guards against a task that runs on while its caller sends the job again.
+  started_task world;
+  world.Answer(start_result::Started);
+  running_task run{ { 7, 0, 0 }, 1, 10 };
+  world.PassInSilence(kOwnerSilence - milliseconds(20), { run });
+  CHECK(world.mLinks.mDrops == 0);
+  CHECK(world.mRunner.mStops.empty());
+  world.PassInSilence(milliseconds(40), { run });
+  CHECK(world.mLinks.mDrops == 1);
+  CHECK(world.mRunner.mStops.size() == 1);
+}
+
+TEST_CASE("an entry hears of a quiet backend server only what it asked for")
+{
+  known_server world;
+  world.mExecutor.Tick(world.mNow);
+  uint32_t atFirst = world.mLinks.mReports;
+  CHECK(atFirst > 0);
+  world.PassInSilence(seconds(5), {});
+  CHECK(world.mLinks.mReports == atFirst);
+  world.mExecutor.OnSubscription(1, true, world.mNow);
+  world.PassInSilence(milliseconds(10), {});
+  CHECK(world.mLinks.mReports == atFirst + 1);
+  world.PassInSilence(milliseconds(10050), {});
+  CHECK(world.mLinks.mReports == atFirst + 11);
+}
+
+TEST_CASE("a backend server that falls ill is reported to every entry at once")
+{
+  // Guards against entries outside whose subset it is, and which would take it
+  // in as ready.
+  known_server world;
+  world.mExecutor.Tick(world.mNow);
+  uint32_t before = world.mLinks.mReports;
+  world.mNow += milliseconds(400); // no look is answered
+  world.mExecutor.Tick(world.mNow);
+  CHECK(world.mExecutor.State(world.mNow) == server_state::Absent);
+  CHECK(world.mLinks.mReports == before + 1);
+}
+
 } // namespace cactusmast::testing
--- a/shell/coordinator_daemon.cc
+++ b/shell/coordinator_daemon.cc
@@ -14,6 +14,7 @@
 // Only one that still lacks it after this time is sent a copy, or one that has
 // none at all.
 constexpr duration kConfigCopyAfter = milliseconds(300);
+constexpr duration kEntryPulseInterval = milliseconds(300);
 constexpr duration kEntrySilence = milliseconds(1000);
 constexpr duration kAnnounceRetry = milliseconds(1000);
 // What callers' waits tell changes slowly, and each entry writes the one row.
@@ -31,7 +32,8 @@
                     aSettings.mInstance.PeerAddress())
   , mSettings(aSettings)
   , mAdapter(aAdapter)
-  , mCoordinator(aSettings.mInstance.mDataCenter,
+  , mCoordinator(aSettings.mInstance.mName,
+                 aSettings.mInstance.mDataCenter,
                  *this,
                  *this,
                  *this,
@@ -123,6 +125,14 @@
   SendToExecutor(aExecutor, MakeMessage(std::move(aOrder)));
 }
 
+void
+coordinator_daemon::Subscribe(peer_id aExecutor, bool aWanted)
+{
+  wire::report_subscription_msg subscription;
+  subscription.wanted = aWanted;
+  SendToExecutor(aExecutor, MakeMessage(subscription));
+}
+
 void
 coordinator_daemon::Drop(peer_id aExecutor)
 {
@@ -151,8 +161,8 @@
     added.mAddress = aIdentity.mAddress;
     added.mHeardAt = Now();
     mDirectory.OnUp(aIdentity.mAddress, Now());
+    mNextPulse = Now();
   }
-  mNextPulse = Now();
   TickSoon();
 }
 
@@ -295,6 +305,18 @@
   mTransport->Send(aExecutor, std::move(aMessage));
 }
 
+wire::entry_pulse_msg
+coordinator_daemon::MakePulse(uint64_t* aToldRevision, instant aNow) const
+{
+  wire::entry_pulse_msg pulse;
+  pulse.config_version = mConfig.Version();
+  if (*aToldRevision != mDirectory.Revision()) {
+    pulse.entries = mDirectory.Seen(aNow);
+    *aToldRevision = mDirectory.Revision();
+  }
+  return pulse;
+}
+
 // An order shows as well as a pulse that this entry lives, so executors that
 // get some are spared the pulses.
 void
@@ -302,16 +324,11 @@
 {
   for (auto& [peer, at] : mExecutorPeers) {
     bool news = at.mToldRevision != mDirectory.Revision();
-    if (!news && aNow - at.mSentAt < kPulseInterval) {
-      continue;
+    bool due =
+      aNow - at.mSentAt >= kPulseInterval && mCoordinator.HasTasksAt(peer);
+    if (news || due) {
+      SendToExecutor(peer, MakeMessage(MakePulse(&at.mToldRevision, aNow)));
     }
-    wire::entry_pulse_msg pulse;
-    pulse.config_version = mConfig.Version();
-    if (news) {
-      pulse.entries = mDirectory.Live();
-      at.mToldRevision = mDirectory.Revision();
-    }
-    SendToExecutor(peer, MakeMessage(std::move(pulse)));
   }
 }
 
@@ -322,12 +339,9 @@
   if (aNow < mNextPulse) {
     return;
   }
-  mNextPulse = aNow + kPulseInterval;
-  wire::entry_pulse_msg pulse;
-  pulse.config_version = mConfig.Version();
-  pulse.entries = mDirectory.Live();
+  mNextPulse = aNow + kEntryPulseInterval;
   for (auto& [peer, at] : mEntryPeers) {
-    mTransport->Send(peer, MakeMessage(pulse));
+    mTransport->Send(peer, MakeMessage(MakePulse(&at.mToldRevision, aNow)));
     SendConfigTo(peer, at, aNow);
   }
 }
@@ -466,6 +480,9 @@
   aPage->Gauge("cactusmast_servers_ready",
                "Backend servers believed ready.",
                double(mCoordinator.ReadyServers()));
+  aPage->Gauge("cactusmast_servers_placeable",
+               "Backend servers that tasks are placed on.",
+               double(mCoordinator.PlaceableServers()));
   aPage->Gauge("cactusmast_config_version",
                "Version in force.",
                double(mConfig.Version()));
--- a/shell/coordinator_daemon.h
+++ b/shell/coordinator_daemon.h
@@ -54,6 +54,7 @@
 
   void Start(peer_id aExecutor, wire::start_tasks_msg aOrder) override;
   void Stop(peer_id aExecutor, wire::stop_tasks_msg aOrder) override;
+  void Subscribe(peer_id aExecutor, bool aWanted) override;
   void Drop(peer_id aExecutor) override;
   void Answer(caller_id aCaller, const job_outcome& aOutcome) override;
   double NextUniform() override;
@@ -73,7 +74,8 @@
     std::string mAddress;
     instant mHeardAt{};
     uint64_t mConfigVersion = 0;
-    uint64_t mSentVersion = 0; // of the configuration, to this peer
+    uint64_t mSentVersion = 0;  // of the configuration, to this peer
+    uint64_t mToldRevision = 0; // of the directory
   };
 
   struct executor_peer
@@ -124,6 +126,8 @@
   void OnEntryRow(const watched_row& aRow);
   void AnnounceSelf(instant aNow);
   void KeepWaits(instant aNow);
+  // aToldRevision: of the directory, at the receiver.
+  wire::entry_pulse_msg MakePulse(uint64_t* aToldRevision, instant aNow) const;
   void SendPulses(instant aNow);
   void PulseExecutors(instant aNow);
   void SendToExecutor(peer_id aExecutor, message aMessage);
--- a/shell/executor_daemon.cc
+++ b/shell/executor_daemon.cc
@@ -154,6 +154,10 @@
     case message_kind::stop_tasks:
       mExecutor.OnStopTasks(aPeer, *aMessage.Asstop_tasks(), now);
       break;
+    case message_kind::report_subscription:
+      mExecutor.OnSubscription(
+        aPeer, aMessage.Asreport_subscription()->wanted, now);
+      break;
     case message_kind::entry_pulse:
       mExecutor.OnPulse(aPeer, now);
       LearnEntries(aMessage.Asentry_pulse()->entries, mEntryPeers[aPeer], now);
@@ -265,6 +269,9 @@
   aPage->Gauge("cactusmast_entries_connected",
                "Entries connected.",
                double(mEntryPeers.size()));
+  aPage->Gauge("cactusmast_entries_subscribed",
+               "Entries that place tasks here.",
+               double(mExecutor.SubscribedEntries()));
 }
 
 } // namespace cactusmast
--- a/shell/instance_daemon.cc
+++ b/shell/instance_daemon.cc
@@ -56,6 +56,7 @@
   transport.mMaxSend = kMaxSend;
   transport.mHandshakeLimitMs = kHandshakeLimitMs;
   transport.mConnectLimitMs = kConnectLimitMs;
+  transport.mKeepAlive = true;
   transport.mSelf.mRole = mRole;
   transport.mSelf.mName = mInstance.mName;
   transport.mSelf.mIncarnation = mIncarnation;
--- a/shell/peer_transport.cc
+++ b/shell/peer_transport.cc
@@ -15,6 +15,12 @@
 constexpr size_t kReadChunk = 256u << 10;
 constexpr size_t kMaxGreetingFrame = 4096;
 constexpr int kMaxReadsPerTurn = 8;
+// A quiet connection is given up after some three seconds. The other machine
+// may be back after that time and serve nobody until its peers dial it anew.
+constexpr int kProbeAfterS = 1;
+constexpr int kProbeIntervalS = 1;
+constexpr int kProbes = 2;
+constexpr int kUnacknowledgedMs = 2000;
 
 std::string
 MakeNonce()
@@ -134,11 +140,28 @@
   g_source_attach(mAcceptSource, nullptr);
 }
 
+void
+peer_transport::SetOptions(GSocket* aSocket) const
+{
+  g_socket_set_blocking(aSocket, FALSE);
+  auto set = [aSocket](int aOption, int aValue) {
+    g_socket_set_option(aSocket, IPPROTO_TCP, aOption, aValue, nullptr);
+  };
+  set(TCP_NODELAY, 1);
+  if (!mOptions.mKeepAlive) {
+    return;
+  }
+  g_socket_set_keepalive(aSocket, TRUE);
+  set(TCP_KEEPIDLE, kProbeAfterS);
+  set(TCP_KEEPINTVL, kProbeIntervalS);
+  set(TCP_KEEPCNT, kProbes);
+  set(TCP_USER_TIMEOUT, kUnacknowledgedMs);
+}
+
 peer_transport::link&
 peer_transport::AddLink(gobject_ptr<GSocket> aSocket, link_state aState)
 {
-  g_socket_set_blocking(aSocket.get(), FALSE);
-  g_socket_set_option(aSocket.get(), IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
+  SetOptions(aSocket.get());
   auto made = std::make_unique<link>(mOptions.mMaxFrame);
   made->mOwner = this;
   made->mId = mNextId++;
--- a/shell/peer_transport.h
+++ b/shell/peer_transport.h
@@ -37,6 +37,10 @@
   // Until the other machine accepts the connection, which its kernel does
   // without the process.
   uint32_t mConnectLimitMs = 3000;
+  // Whether the kernel probes quiet connections, and gives up those over which
+  // nothing is acknowledged. Without, a machine that went without a word is
+  // noticed only by a listener that expects messages.
+  bool mKeepAlive = false;
 };
 
 struct transport_counters
@@ -119,6 +123,7 @@
                  event_sink& aEvents);
   void Listen();
   link& AddLink(gobject_ptr<GSocket> aSocket, link_state aState);
+  void SetOptions(GSocket* aSocket) const;
   void Greet(link& aLink);
   void Shut(link& aLink, bool aTell);
   void OnReadable(link& aLink);
--- a/standins/platform_load_main.cc
+++ b/standins/platform_load_main.cc
@@ -176,6 +176,9 @@
       mExecutor.OnStartTasks(aPeer, *aMessage.Asstart_tasks(), Now());
     } else if (aMessage.type == message_kind::stop_tasks) {
       mExecutor.OnStopTasks(aPeer, *aMessage.Asstop_tasks(), Now());
+    } else if (aMessage.type == message_kind::report_subscription) {
+      mExecutor.OnSubscription(
+        aPeer, aMessage.Asreport_subscription()->wanted, Now());
     } else {
       mExecutor.OnPulse(aPeer, Now());
     }
