Executors take fewer turns and looks; awaiting ends with the last open task

Cause: an executor took a turn each 10 ms and looked at its backend server each 30 ms while anything ran and each 100 ms otherwise.

Change: the daemon's timer counts from the last turn, 20 ms with tasks and 50 ms without; a look waits for the next expected end (30 to 100 ms), or 200 ms with nothing running, and 30 ms after one whose answer was lost. Awaiting is settled after the ends of a report are read, by a fresh look-up of the executor.

Test: "the quiet after a job is not taken for the loss of its executors" failed with three drops before.

--- a/cactusmast/job_coordinator.h
+++ b/cactusmast/job_coordinator.h
@@ -243,8 +243,10 @@
                              instant aNow);
   void SendOrders(instant aNow);
   void RefreshFree(executor& aAt);
-  // Subscribes to new members of the subset, and no longer to former ones.
-  void UpdateSubset(executor_subset& aSubset, instant aNow);
+  // After a report: whether more is awaited, and who is in the subset now.
+  void NoteHeard(peer_id aPeer, instant aNow);
+  // Subscribes to new members of a subset, and no longer to former ones.
+  void ApplyChange(const executor_subset::change& aChange, instant aNow);
   // By the service that aAt's backend server belongs to.
   void AssignSubset(executor& aAt, const std::string& aService);
   // After a placing that left aUnplaced without a place.
--- a/cactusmast/job_coordinator_executors.cc
+++ b/cactusmast/job_coordinator_executors.cc
@@ -68,7 +68,7 @@
   }
   if (subset != nullptr) {
     subset->Remove(aPeer);
-    UpdateSubset(*subset, aNow);
+    ApplyChange(subset->Update(), aNow);
   }
   for (const task_key& key : unsure) {
     Settle(key, aNow + kSettleTime);
@@ -148,10 +148,6 @@
   at.mUnreported.erase(at.mUnreported.begin(),
                        at.mUnreported.upper_bound(aSaid.last_offer));
   RefreshFree(at);
-  at.mAwaitedSince = at.mTasks.empty() ? instant{} : at.mAwaitedSince;
-  at.mSubset->SetUsable(aPeer, state == server_state::Ready);
-  UpdateSubset(*at.mSubset, aNow);
-  view.mPlaceable = at.mSubset->Has(aPeer);
   mRoomChanged = true;
   for (const wire::task_end& end : aSaid.ends) {
     OnEnd(aPeer, end, aNow);
@@ -159,6 +155,27 @@
   for (const wire::task_forecast& forecast : aSaid.too_slow) {
     OnTooSlow(aPeer, forecast, aNow);
   }
+  NoteHeard(aPeer, aNow);
+}
+
+void
+job_coordinator::NoteHeard(peer_id aPeer, instant aNow)
+{
+  // The jobs that ended with the report may have closed the connection: an
+  // order to stop can be more than it takes.
+  auto found = mExecutors.find(aPeer);
+  if (found == mExecutors.end()) {
+    return;
+  }
+  executor& at = found->second;
+  if (at.mTasks.empty()) {
+    at.mAwaitedSince = instant(0);
+  }
+  server_view& view = mViews[at.mView];
+  at.mSubset->SetUsable(aPeer, view.mState == server_state::Ready);
+  executor_subset::change change = at.mSubset->Update();
+  view.mPlaceable = at.mSubset->Has(aPeer);
+  ApplyChange(change, aNow);
 }
 
 // Null unless the task is placed at aPeer under this attempt: reports may be
@@ -347,14 +364,17 @@
 }
 
 void
-job_coordinator::UpdateSubset(executor_subset& aSubset, instant aNow)
+job_coordinator::ApplyChange(const executor_subset::change& aChange,
+                             instant aNow)
 {
-  executor_subset::change change = aSubset.Update();
-  for (peer_id peer : change.mJoined) {
-    Await(mExecutors.at(peer), aNow);
-    mLinks.Subscribe(peer, true);
+  for (peer_id peer : aChange.mJoined) {
+    auto found = mExecutors.find(peer);
+    if (found != mExecutors.end()) {
+      Await(found->second, aNow);
+      mLinks.Subscribe(peer, true);
+    }
   }
-  for (peer_id peer : change.mLeft) {
+  for (peer_id peer : aChange.mLeft) {
     auto found = mExecutors.find(peer);
     if (found != mExecutors.end()) {
       mViews[found->second.mView].mPlaceable = false;
@@ -385,7 +405,7 @@
                    { "size", std::to_string(subset.Size()) },
                    { "free_share", std::to_string(freeShare) },
                    { "unplaced", isShort ? "yes" : "no" } });
-    UpdateSubset(subset, aNow);
+    ApplyChange(subset.Update(), aNow);
   }
 }
 
--- a/cactusmast/task_executor.h
+++ b/cactusmast/task_executor.h
@@ -48,7 +48,8 @@
 // place them again; three looks fit in.
 constexpr milliseconds kLeaseTime = milliseconds(500);
 constexpr milliseconds kLookWait = milliseconds(30);
-constexpr milliseconds kIdleLookWait = milliseconds(100);
+constexpr milliseconds kLongLookWait = milliseconds(100);
+constexpr milliseconds kIdleLookWait = milliseconds(200);
 // A look that is not answered this long after its wait is taken to be lost and
 // followed by another: while none is answered, ends and free room go unseen.
 // The answer comes from the same machine within 1 ms, unless
@@ -199,6 +200,8 @@
   void OrderStop(task& aTask, attempt_outcome aOutcome, instant aNow);
   void SendStop(const task_key& aTask, uint32_t aRun);
   void SendLook(instant aNow);
+  // How long the next look may wait for an end.
+  milliseconds LookWait(instant aNow) const;
   void RetryStart(task& aTask, instant aNow);
   void GiveUpStart(task& aTask, attempt_outcome aWhy, instant aNow);
   void Requeue(task& aTask);
--- a/cactusmast/task_executor_looks.cc
+++ b/cactusmast/task_executor_looks.cc
@@ -16,6 +16,28 @@
   return outstanding ? aNow >= mLookLateAt : aNow >= mNextLook;
 }
 
+// A look returns with the next end, so that waits are cut short only to notice
+// an answer that was lost. It is missed most right after an end.
+milliseconds
+task_executor::LookWait(instant aNow) const
+{
+  bool lost = !mLooks.empty();
+  if (lost) {
+    return kLookWait;
+  }
+  if (Running() == 0) {
+    return kIdleLookWait;
+  }
+  instant next = aNow + kLongLookWait;
+  for (const auto& [key, one] : mTasks) {
+    if (one.mState != task_state::Queued) {
+      next = std::min(next, ExpectedEnd(one, aNow) + kOverdueEnd);
+    }
+  }
+  auto wait = std::chrono::duration_cast<milliseconds>(next - aNow);
+  return std::max(wait, kLookWait);
+}
+
 void
 task_executor::SendLook(instant aNow)
 {
@@ -28,8 +50,7 @@
   // to lease.
   bool steady = mClockKnown && aNow - mSeenAt < kSilentAfter;
   order.mLeaseUntilMs = steady ? LeaseUntil(aNow) : 0;
-  milliseconds wait = Running() > 0 ? kLookWait : kIdleLookWait;
-  order.mWaitMs = steady && !mStrays ? uint32_t(wait.count()) : 0;
+  order.mWaitMs = steady && !mStrays ? uint32_t(LookWait(aNow).count()) : 0;
   mLooks[order.mNumber] = aNow;
   mLookLateAt = aNow + milliseconds(order.mWaitMs) + kLookPatience;
   mRunner.Look(order);
--- a/cactusmast/testing/executor_subset_test.cc
+++ b/cactusmast/testing/executor_subset_test.cc
@@ -206,6 +206,17 @@
   CHECK(world.Violations().empty());
 }
 
+TEST_CASE("the quiet after a job is not taken for the loss of its executors")
+{
+  // Guards against connections that are dropped for want of messages that
+  // nobody has to send, and with them the tasks of the next job.
+  sized_world world(2, 4, 73);
+  world.Submit(0, 4, 60);
+  world.Run(seconds(2));
+  CHECK(world.DroppedLinks() == 0);
+  CHECK(world.CountEnding(job_ending::Completed) == 1);
+}
+
 TEST_CASE("an executor that vanished while idle costs its first tasks a second")
 {
   // Guards against orders into a connection that is dead: nothing is expected
--- a/cactusmast/testing/sized_world.cc
+++ b/cactusmast/testing/sized_world.cc
@@ -59,6 +59,7 @@
   }
   void Drop(peer_id aExecutor) override
   {
+    mWorld.mDroppedLinks++;
     mWorld.CloseLink(aExecutor, false, true);
   }
   void Answer(caller_id aCaller, const job_outcome& aOutcome) override
@@ -97,7 +98,11 @@
       mWorld.Coordinator(way.mEntry).OnReport(aEntry, aSaid, mWorld.mNow);
     });
   }
-  void Drop(peer_id aEntry) override { mWorld.CloseLink(aEntry, true, false); }
+  void Drop(peer_id aEntry) override
+  {
+    mWorld.mDroppedLinks++;
+    mWorld.CloseLink(aEntry, true, false);
+  }
 
   sized_world& mWorld;
   size_t mIndex;
--- a/cactusmast/testing/sized_world.h
+++ b/cactusmast/testing/sized_world.h
@@ -145,6 +145,8 @@
   const caller_record& LastOf(uint64_t aJob) const;
   size_t CountEnding(job_ending aEnding) const;
   size_t CountInTime(duration aWithin) const;
+  // Connections that one side closed because it believed the other gone.
+  size_t DroppedLinks() const { return mDroppedLinks; }
   const std::vector<caller_record>& Callers() const { return mCallers; }
   const std::vector<std::string>& Violations() const { return mViolations; }
 
@@ -186,6 +188,7 @@
   std::map<peer_id, link> mLinks;
   std::map<std::pair<size_t, size_t>, instant> mCuts;
   peer_id mNextLink = 1;
+  size_t mDroppedLinks = 0;
   uint64_t mNextLife = 1;
   route_config mConfig;
   std::shared_ptr<const route_table> mTable;
--- a/shell/daemon.cc
+++ b/shell/daemon.cc
@@ -11,6 +11,8 @@
 namespace cactusmast {
 namespace {
 
+using std::chrono::milliseconds;
+
 // Between the node's end and the process's, for the last answers to leave.
 constexpr guint kLastWordsMs = 300;
 
@@ -67,7 +69,7 @@
   g_unix_signal_add(SIGTERM, &daemon_loop::OnSignal, this);
   g_unix_signal_add(SIGINT, &daemon_loop::OnSignal, this);
   g_unix_signal_add(SIGHUP, &daemon_loop::OnHangup, this);
-  g_timeout_add(TickIntervalMs(), &daemon_loop::OnTimer, this);
+  ArmTimer(milliseconds(TickIntervalMs()));
   TickSoon();
   g_main_loop_run(mLoop);
   return mAborted ? 1 : 0;
@@ -82,23 +84,45 @@
   }
 }
 
+void
+daemon_loop::RunTick()
+{
+  mTickedAt = Now();
+  OnTick();
+  CheckDrained();
+}
+
+void
+daemon_loop::ArmTimer(duration aAfter)
+{
+  auto afterMs = std::chrono::ceil<milliseconds>(aAfter).count();
+  g_timeout_add(guint(afterMs), &daemon_loop::OnTimer, this);
+}
+
 gboolean
 daemon_loop::OnIdle(gpointer aData)
 {
   auto* self = static_cast<daemon_loop*>(aData);
   self->mIdle = 0;
-  self->OnTick();
-  self->CheckDrained();
+  self->RunTick();
   return G_SOURCE_REMOVE;
 }
 
+// Input may have brought a turn since the timer was armed; then it is not due
+// before an interval after that.
 gboolean
 daemon_loop::OnTimer(gpointer aData)
 {
   auto* self = static_cast<daemon_loop*>(aData);
-  self->OnTick();
-  self->CheckDrained();
-  return G_SOURCE_CONTINUE;
+  duration interval = milliseconds(self->TickIntervalMs());
+  duration since = Now() - self->mTickedAt;
+  if (since < interval) {
+    self->ArmTimer(interval - since);
+    return G_SOURCE_REMOVE;
+  }
+  self->RunTick();
+  self->ArmTimer(interval);
+  return G_SOURCE_REMOVE;
 }
 
 void
--- a/shell/daemon.h
+++ b/shell/daemon.h
@@ -45,8 +45,8 @@
 
   // One turn of the node's work.
   virtual void OnTick() = 0;
-  // Between turns without input. Each turn costs processor time, which is short
-  // on small machines.
+  // The longest time between turns. Each turn costs processor time, which is
+  // short on small machines. Asked anew after each turn of the timer.
   virtual uint32_t TickIntervalMs() const { return 10; }
   virtual void OnDrain() = 0;
   virtual bool IsDrained() = 0;
@@ -65,11 +65,14 @@
   static gboolean OnSignal(gpointer aData);
   static gboolean OnHangup(gpointer aData);
   static gboolean OnDeadline(gpointer aData);
+  void RunTick();
+  void ArmTimer(duration aAfter);
   void CheckDrained();
   void QuitSoon();
 
   GMainLoop* mLoop = nullptr;
   guint mIdle = 0;
+  instant mTickedAt{};
   guint mDeadline = 0;
   uint32_t mDrainTimeoutMs = 0;
   bool mDraining = false;
--- a/shell/executor_daemon.cc
+++ b/shell/executor_daemon.cc
@@ -11,6 +11,10 @@
 // A fencing token must exceed that of the process before it. Seconds since
 // this day do, unless the clock went back; then the backend server says so.
 constexpr int64_t kFenceEpoch = 1735689600;
+// Of the shortest times that the executor keeps, 25 ms and more.
+constexpr uint32_t kBusyTickMs = 20;
+// Without tasks it only has to notice that something is gone.
+constexpr uint32_t kIdleTickMs = 50;
 
 } // namespace
 
@@ -218,6 +222,13 @@
   mTransport->Sweep();
 }
 
+uint32_t
+executor_daemon::TickIntervalMs() const
+{
+  bool busy = mExecutor.Running() + mExecutor.Queued() > 0;
+  return busy ? kBusyTickMs : kIdleTickMs;
+}
+
 result<instance_settings>
 executor_daemon::ReadSettings() const
 {
--- a/shell/executor_daemon.h
+++ b/shell/executor_daemon.h
@@ -46,6 +46,7 @@
 
 protected:
   void OnTick() override;
+  uint32_t TickIntervalMs() const override;
   void OnDrain() override;
   bool IsDrained() override;
   void OnAbort() override;
