A planned stop that ran out of time ends the process before all other work

A process that reaches the limit of its planned stop answers what is open and then waits 300 ms for the answers to leave, with the lowest priority. A loop that always has work, as on a small entry under load, never comes to that.

Change: after the limit the wait has a high priority.

Test: daemon_test.cc runs a loop that always has work; before, it ended only when the work did, after 4 s.

--- a/shell/daemon.cc
+++ b/shell/daemon.cc
@@ -130,16 +130,16 @@
 {
   if (mDraining && !mAborted && !mLeaving && IsDrained()) {
     mLeaving = true;
-    QuitSoon();
+    QuitSoon(G_PRIORITY_LOW);
   }
 }
 
 // The last answers are still in the sockets' buffers when the node is done.
 void
-daemon_loop::QuitSoon()
+daemon_loop::QuitSoon(gint aPriority)
 {
   g_timeout_add_full(
-    G_PRIORITY_LOW,
+    aPriority,
     kLastWordsMs,
     [](gpointer aLoop) -> gboolean {
       g_main_loop_quit(static_cast<GMainLoop*>(aLoop));
@@ -191,7 +191,9 @@
   }
   self->mAborted = true;
   self->OnAbort();
-  self->QuitSoon();
+  // A loop that always has work never comes to what has a low priority, and the
+  // process would be killed with its last answers unsent.
+  self->QuitSoon(G_PRIORITY_HIGH);
   return G_SOURCE_REMOVE;
 }
 
--- a/shell/daemon.h
+++ b/shell/daemon.h
@@ -68,7 +68,7 @@
   void RunTick();
   void ArmTimer(duration aAfter);
   void CheckDrained();
-  void QuitSoon();
+  void QuitSoon(gint aPriority);
 
   GMainLoop* mLoop = nullptr;
   guint mIdle = 0;
--- /dev/null
+++ b/shell/testing/daemon_test.cc
@@ -0,0 +1,61 @@
+// The main loop of the daemons.
+
+#include <doctest/doctest.h>
+
+#include <csignal>
+
+#include "shell/daemon.h"
+
+namespace cactusmast::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A node that is never drained, in a loop that always has work.
+class busy_daemon : public daemon_loop
+{
+public:
+  busy_daemon() { g_idle_add(&busy_daemon::OnWork, this); }
+  bool Aborted() const { return mWasAborted; }
+
+protected:
+  void OnTick() override {}
+  void OnDrain() override {}
+  bool IsDrained() override { return false; }
+  void OnAbort() override { mWasAborted = true; }
+
+private:
+  // Gives up after a while, so that the test can fail.
+  static gboolean OnWork(gpointer aData)
+  {
+    auto* self = static_cast<busy_daemon*>(aData);
+    return Now() < self->mGiveUpAt ? G_SOURCE_CONTINUE : G_SOURCE_REMOVE;
+  }
+
+  instant mGiveUpAt = Now() + milliseconds(4000);
+  bool mWasAborted = false;
+};
+
+} // namespace
+
+TEST_CASE("a planned stop ends in its time although the loop always has work")
+{
+  // Guards against small entries that are killed at the end of the grace time.
+  constexpr uint32_t kDrainMs = 200;
+  // Its sources stay in the main context, which other tests run again.
+  static busy_daemon daemon;
+  g_timeout_add(
+    50,
+    [](gpointer) -> gboolean {
+      std::raise(SIGTERM);
+      return G_SOURCE_REMOVE;
+    },
+    nullptr);
+  instant began = Now();
+  int code = daemon.Run(kDrainMs);
+  CHECK(code == 1);
+  CHECK(daemon.Aborted());
+  CHECK(Now() - began < milliseconds(2000));
+}
+
+} // namespace cactusmast::testing
