http_server keeps each answer until it is written and reports lost ones

Callers saw: a request with neither an answer nor a refusal, and no log line of the process that had read it. Cause: Answer() forgot the exchange before libsoup had written a byte, and CloseIdle() closed without a trace.

Change: an answered exchange moves to a second map until "finished"; "wrote-body" before it says that the kernel has the last byte. What is closed when is unchanged.

--- a/shell/http_server.cc
+++ b/shell/http_server.cc
@@ -1,12 +1,15 @@
 #include "shell/http_server.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include "cactusmast/api_json.h"
+#include "shell/daemon.h"
 #include "shell/peer_transport.h"
+#include "shell/received_bytes.h"
 
 namespace cactusmast {
 namespace {
@@ -209,6 +212,10 @@
     g_signal_handler_disconnect(exchange->mMessage.get(),
                                 exchange->mFinishedHandler);
   }
+  for (auto& [message, exchange] : mUnsentAnswers) {
+    g_signal_handler_disconnect(message, exchange->mFinishedHandler);
+    g_signal_handler_disconnect(message, exchange->mWrittenHandler);
+  }
   if (mAcceptSource != nullptr) {
     g_source_destroy(mAcceptSource);
     g_source_unref(mAcceptSource);
@@ -292,7 +299,9 @@
 http_server::AddSocket(const std::shared_ptr<connection_group>& aGroup,
                        GSocket* aSocket)
 {
-  aGroup->mOpenSockets.insert(aSocket);
+  auto connection = std::make_shared<client_connection>();
+  connection->mLastActivity = Now();
+  aGroup->mOpenSockets[aSocket] = std::move(connection);
   g_object_weak_ref(G_OBJECT(aSocket),
                     &OnSocketFinalized,
                     new std::weak_ptr<connection_group>(aGroup));
@@ -316,17 +325,69 @@
   for (const auto& [id, exchange] : mExchanges) {
     busy.insert(SocketOf(exchange->mMessage.get()));
   }
+  instant now = Now();
+  idle_sweep sweep;
   for (const auto& group : mGroups) {
-    for (GSocket* socket : group->mOpenSockets) {
+    for (const auto& [socket, connection] : group->mOpenSockets) {
       bool idle =
         busy.count(socket) == 0 && group->mReadingRequest.count(socket) == 0 &&
         !g_socket_is_closed(socket) && Peek(socket) == peek_result::Nothing;
       if (idle) {
-        // libsoup detects the shutdown and frees the connection.
-        g_socket_shutdown(socket, TRUE, TRUE, nullptr);
+        CloseAsIdle(socket, *connection, now, &sweep);
       }
     }
   }
+  mCounters.mIdleClosed += sweep.mClosed;
+  if (sweep.mClosed > 0 && mObserver != nullptr) {
+    mObserver->OnIdleClosed(sweep);
+  }
+}
+
+void
+http_server::CloseAsIdle(GSocket* aSocket,
+                         client_connection& aConnection,
+                         instant aNow,
+                         idle_sweep* aSweep)
+{
+  duration age = aNow - aConnection.mLastActivity;
+  aSweep->mYoungest =
+    aSweep->mClosed == 0 ? age : std::min(aSweep->mYoungest, age);
+  aSweep->mClosed++;
+  aSweep->mUnused += aConnection.mUsed ? 0 : 1;
+  aSweep->mWithUnsentAnswer += aConnection.mUnsentAnswers > 0 ? 1 : 0;
+  bool hasPart =
+    ReceivedBytes(g_socket_get_fd(aSocket)) > aConnection.mRequestedBytes;
+  aSweep->mWithPartRequest += hasPart ? 1 : 0;
+  aConnection.mClosedAsIdle = true;
+  // libsoup detects the shutdown and frees the connection.
+  g_socket_shutdown(aSocket, TRUE, TRUE, nullptr);
+}
+
+size_t
+http_server::OpenConnections() const
+{
+  size_t count = 0;
+  for (const auto& group : mGroups) {
+    count += group->mOpenSockets.size();
+  }
+  return count;
+}
+
+void
+http_server::NoteReceived(const connection_group& aGroup,
+                          http_exchange* aExchange)
+{
+  aExchange->mReceivedAt = Now();
+  GSocket* socket = SocketOf(aExchange->mMessage.get());
+  auto found = aGroup.mOpenSockets.find(socket);
+  if (found == aGroup.mOpenSockets.end()) {
+    aExchange->mConnection = std::make_shared<client_connection>();
+    return;
+  }
+  aExchange->mConnection = found->second;
+  aExchange->mConnection->mUsed = true;
+  aExchange->mConnection->mRequestedBytes =
+    ReceivedBytes(g_socket_get_fd(socket));
 }
 
 std::shared_ptr<http_server::connection_group>
@@ -434,6 +495,7 @@
   exchange.mMethod = soup_server_message_get_method(aMessage);
   exchange.mPath = aPath;
   exchange.mMessage.reset(SOUP_SERVER_MESSAGE(g_object_ref(aMessage)));
+  NoteReceived(*group, &exchange);
   SoupMessageBody* body = soup_server_message_get_request_body(aMessage);
   GBytes* bytes = soup_message_body_flatten(body);
   gsize size = 0;
@@ -497,6 +559,10 @@
     }
   }
   for (uint64_t id : disconnected) {
+    http_exchange* exchange = Find(id);
+    if (exchange != nullptr) {
+      exchange->mAbandoned = true;
+    }
     // Nobody reads this answer. It makes libsoup close its end.
     http_answer answer;
     answer.mStatus = SOUP_STATUS_SERVICE_UNAVAILABLE;
@@ -512,6 +578,7 @@
   auto* self = static_cast<http_server*>(aData);
   auto found = self->mExchangeIds.find(aMessage);
   if (found == self->mExchangeIds.end()) {
+    self->EndAnswered(aMessage);
     return;
   }
   uint64_t id = found->second;
@@ -524,6 +591,86 @@
   }
 }
 
+void
+http_server::OnWritten(SoupServerMessage* aMessage, gpointer aData)
+{
+  auto* self = static_cast<http_server*>(aData);
+  auto found = self->mUnsentAnswers.find(aMessage);
+  if (found != self->mUnsentAnswers.end()) {
+    found->second->mWritten = true;
+    found->second->mConnection->mLastActivity = Now();
+  }
+}
+
+void
+http_server::EndAnswered(SoupServerMessage* aMessage)
+{
+  auto found = mUnsentAnswers.find(aMessage);
+  if (found == mUnsentAnswers.end()) {
+    return;
+  }
+  std::unique_ptr<http_exchange> ended = std::move(found->second);
+  mUnsentAnswers.erase(found);
+  ended->mConnection->mUnsentAnswers--;
+  if (!ended->mWritten && !ended->mAbandoned) {
+    ReportNotSent(*ended,
+                  ended->mConnection->mClosedAsIdle
+                    ? unsent_cause::ClosedAsIdle
+                    : unsent_cause::ClientClosed);
+  }
+}
+
+void
+http_server::ReportNotSent(const http_exchange& aExchange, unsent_cause aCause)
+{
+  mCounters.mAnswersNotSent[size_t(aCause)]++;
+  if (mObserver == nullptr) {
+    return;
+  }
+  instant now = Now();
+  unsent_answer unsent;
+  unsent.mExchange = aExchange.mId;
+  unsent.mMethod = aExchange.mMethod;
+  unsent.mPath = aExchange.mPath;
+  unsent.mSinceReceived = now - aExchange.mReceivedAt;
+  if (aExchange.mAnsweredAt != instant{}) {
+    unsent.mSinceAnswered = now - aExchange.mAnsweredAt;
+  }
+  unsent.mCause = aCause;
+  InvokeInMainContext([&] { mObserver->OnAnswerNotSent(unsent); });
+}
+
+void
+http_server::ReportUnsent(size_t aMax)
+{
+  size_t reported = 0;
+  for (const auto& [message, exchange] : mUnsentAnswers) {
+    if (!exchange->mWritten && !exchange->mAbandoned && reported < aMax) {
+      reported++;
+      ReportNotSent(*exchange, unsent_cause::ProcessExit);
+    }
+  }
+  for (const auto& [id, exchange] : mExchanges) {
+    if (reported < aMax) {
+      reported++;
+      ReportNotSent(*exchange, unsent_cause::NoAnswer);
+    }
+  }
+}
+
+void
+http_server::AwaitWritten(std::unique_ptr<http_exchange> aExchange)
+{
+  SoupServerMessage* message = aExchange->mMessage.get();
+  aExchange->mBody.clear();
+  aExchange->mBody.shrink_to_fit();
+  aExchange->mAnsweredAt = Now();
+  aExchange->mConnection->mUnsentAnswers++;
+  aExchange->mWrittenHandler = g_signal_connect(
+    message, "wrote-body", G_CALLBACK(&http_server::OnWritten), this);
+  mUnsentAnswers[message] = std::move(aExchange);
+}
+
 http_exchange*
 http_server::Find(uint64_t aExchange)
 {
@@ -542,7 +689,6 @@
   mExchanges.erase(found);
   SoupServerMessage* message = exchange->mMessage.get();
   mExchangeIds.erase(message);
-  g_signal_handler_disconnect(message, exchange->mFinishedHandler);
   soup_server_message_set_status(message, guint(aAnswer.mStatus), nullptr);
   soup_server_message_set_response(message,
                                    aAnswer.mContentType.c_str(),
@@ -560,9 +706,12 @@
     soup_message_headers_replace(
       soup_server_message_get_response_headers(message), "Connection", "close");
   }
-  if (exchange->mPaused) {
+  bool paused = exchange->mPaused;
+  nested_context* context = exchange->mContext;
+  AwaitWritten(std::move(exchange));
+  if (paused) {
     soup_server_message_unpause(message);
-    exchange->mContext->Wake();
+    context->Wake();
   }
 }
 
--- a/shell/http_server.h
+++ b/shell/http_server.h
@@ -16,6 +16,7 @@
 #include <string>
 #include <vector>
 
+#include "shell/connection_observer.h"
 #include "shell/nested_context.h"
 #include "util/gobject_ptr.h"
 #include "util/result.h"
@@ -39,7 +40,19 @@
 http_answer
 ErrorAnswer(const failure& aError);
 
-// A request that has not been answered yet.
+// What is known of a client's connection.
+struct client_connection
+{
+  // When it was accepted or its last answer was written.
+  instant mLastActivity{};
+  bool mUsed = false; // has carried a request
+  // Bytes received when its last request was complete.
+  uint64_t mRequestedBytes = 0;
+  size_t mUnsentAnswers = 0;  // answers that are not written yet
+  bool mClosedAsIdle = false; // by CloseIdle
+};
+
+// A request that has not been answered yet, or whose answer is not written yet.
 class http_exchange
 {
 public:
@@ -74,7 +87,14 @@
   gobject_ptr<SoupServerMessage> mMessage;
   // The context that the sources of the message's connection belong to.
   nested_context* mContext = nullptr;
-  gulong mFinishedHandler = 0; // signal handler id
+  gulong mFinishedHandler = 0; // signal handler ids
+  gulong mWrittenHandler = 0;
+  std::shared_ptr<client_connection> mConnection;
+  instant mReceivedAt{};
+  instant mAnsweredAt{}; // zero: not answered
+  bool mWritten = false; // the kernel has the whole answer
+  // The client disconnected before the answer, so that nobody waits for it.
+  bool mAbandoned = false;
   // Whether the message is paused in libsoup until the answer.
   bool mPaused = false;
 };
@@ -104,6 +124,12 @@
   // Ignored when the exchange was answered or its client disconnected.
   void Answer(uint64_t aExchange, const http_answer& aAnswer);
 
+  // Reports from now on go to aObserver, which must outlive the server.
+  void Observe(connection_observer* aObserver) { mObserver = aObserver; }
+  // Reports the requests that get no answer because the process exits, at most
+  // aMax of them.
+  void ReportUnsent(size_t aMax);
+
   // Closes idle connections, so that their clients open new ones, to another
   // process if this one no longer accepts any. A connection with unread data or
   // with a request in progress stays open.
@@ -111,6 +137,11 @@
 
   // Requests that have not been answered yet.
   size_t OpenExchanges() const { return mExchanges.size(); }
+  // Answers that libsoup has neither finished writing nor given up.
+  size_t UnsentAnswers() const { return mUnsentAnswers.size(); }
+  // Connections of clients, and those that are being closed.
+  size_t OpenConnections() const;
+  const connection_counters& Counters() const { return mCounters; }
   // Requests received since the start.
   uint64_t ReceivedRequests() const { return mRequestCount; }
 
@@ -120,7 +151,8 @@
   {
     std::unique_ptr<nested_context> mContext;
     gobject_ptr<SoupServer> mServer;
-    std::set<GSocket*> mOpenSockets;    // of its open connections
+    // Its open connections by socket.
+    std::map<GSocket*, std::shared_ptr<client_connection>> mOpenSockets;
     std::set<GSocket*> mReadingRequest; // those whose request is partly read
   };
 
@@ -153,8 +185,23 @@
                                const char* aPath,
                                GHashTable* aQuery,
                                gpointer aData);
-  // Called when libsoup has given up an exchange before its answer.
+  // Called when libsoup has given up an exchange before its answer, or has
+  // finished or given up writing the answer.
   static void OnFinished(SoupServerMessage* aMessage, gpointer aData);
+  // Called when the kernel has the last byte of an answer.
+  static void OnWritten(SoupServerMessage* aMessage, gpointer aData);
+  // Called when an exchange ended after its answer.
+  void EndAnswered(SoupServerMessage* aMessage);
+  // Notes that an exchange was received over its connection.
+  static void NoteReceived(const connection_group& aGroup,
+                           http_exchange* aExchange);
+  // Keeps an answered exchange until its answer is written.
+  void AwaitWritten(std::unique_ptr<http_exchange> aExchange);
+  void ReportNotSent(const http_exchange& aExchange, unsent_cause aCause);
+  static void CloseAsIdle(GSocket* aSocket,
+                          client_connection& aConnection,
+                          instant aNow,
+                          idle_sweep* aSweep);
   static gboolean OnDisconnectTimer(gpointer aData);
   void StartDisconnectTimer();
   // Ends the exchanges whose clients have disconnected.
@@ -168,6 +215,10 @@
   disconnect_handler mOnDisconnect;
   std::map<uint64_t, std::unique_ptr<http_exchange>> mExchanges; // by id
   std::map<SoupServerMessage*, uint64_t> mExchangeIds;
+  // Answered exchanges whose answer is not written yet.
+  std::map<SoupServerMessage*, std::unique_ptr<http_exchange>> mUnsentAnswers;
+  connection_observer* mObserver = nullptr; // null: nobody is told
+  connection_counters mCounters;
   uint64_t mNextId = 1;
   uint64_t mRequestCount = 0;
   guint mDisconnectTimer = 0; // source id; 0 while it is not running
--- a/shell/testing/http_server_test.cc
+++ b/shell/testing/http_server_test.cc
@@ -10,6 +10,7 @@
 #include <unistd.h>
 #include <vector>
 
+#include "shell/daemon.h"
 #include "shell/testing/loopback.h"
 
 namespace cactusmast::testing {
@@ -37,6 +38,53 @@
   REQUIRE(write(aFd, aText.data(), aText.size()) == ssize_t(aText.size()));
 }
 
+// Keeps what a server reports.
+class fake_connection_observer : public connection_observer
+{
+public:
+  void OnAnswerNotSent(const unsent_answer& aAnswer) override
+  {
+    mNotSent.push_back(aAnswer);
+  }
+  void OnIdleClosed(const idle_sweep& aSweep) override
+  {
+    mSweeps.push_back(aSweep);
+  }
+
+  std::vector<unsent_answer> mNotSent;
+  std::vector<idle_sweep> mSweeps;
+};
+
+// Closes a connection in a way that makes the other side's writes fail.
+void
+Reset(int aFd)
+{
+  linger now{ 1, 0 };
+  setsockopt(aFd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+  close(aFd);
+}
+
+// Runs the main loop until aServer has no answer left to write.
+void
+RunUntilWritten(const http_server& aServer)
+{
+  gint64 end = g_get_monotonic_time() + 5 * G_USEC_PER_SEC;
+  while (aServer.UnsentAnswers() > 0 && g_get_monotonic_time() < end) {
+    g_main_context_iteration(nullptr, FALSE);
+  }
+  CHECK(aServer.UnsentAnswers() == 0);
+}
+
+// Runs the main loop for aMs.
+void
+RunLoopFor(int64_t aMs)
+{
+  gint64 end = g_get_monotonic_time() + aMs * 1000;
+  while (g_get_monotonic_time() < end) {
+    g_main_context_iteration(nullptr, FALSE);
+  }
+}
+
 // Returns a new connection over which kRequest was sent.
 int
 SendRequest(uint16_t aPort)
@@ -243,4 +291,189 @@
   CHECK(server.mServer->OpenExchanges() == 0);
 }
 
+TEST_CASE("an answer over a broken connection is reported as not sent")
+{
+  // Guards against a caller without an answer that no log line tells of.
+  fake_connection_observer observer;
+  uint64_t pendingId = 0;
+  bool handled = false;
+  loopback_server server = ServeOnLoopback([&](http_exchange& aExchange) {
+    pendingId = aExchange.Id();
+    handled = true;
+  });
+  server.mServer->Observe(&observer);
+  int client = SendRequest(server.mPort);
+  RunLoopUntil(handled);
+  Reset(client);
+  server.mServer->Answer(pendingId, {});
+  CHECK(server.mServer->UnsentAnswers() == 1);
+  CHECK(server.mServer->OpenExchanges() == 0);
+  RunUntilWritten(*server.mServer);
+  REQUIRE(observer.mNotSent.size() == 1);
+  const unsent_answer& reported = observer.mNotSent[0];
+  CHECK(reported.mExchange == pendingId);
+  CHECK(reported.mMethod == "POST");
+  CHECK(reported.mPath == "/job");
+  CHECK(reported.mCause == unsent_cause::ClientClosed);
+  CHECK(reported.mSinceReceived >= reported.mSinceAnswered);
+  CHECK(server.mServer->Counters()
+          .mAnswersNotSent[size_t(unsent_cause::ClientClosed)] == 1);
+}
+
+TEST_CASE("a client that gave up before its answer counts as none not sent")
+{
+  // Guards against a warning for each caller that stops waiting.
+  fake_connection_observer observer;
+  bool handled = false;
+  bool disconnected = false;
+  loopback_server server =
+    ServeOnLoopback([&](http_exchange&) { handled = true; },
+                    [&](uint64_t) { disconnected = true; });
+  server.mServer->Observe(&observer);
+  int client = SendRequest(server.mPort);
+  RunLoopUntil(handled);
+  Reset(client);
+  RunLoopUntil(disconnected);
+  RunUntilWritten(*server.mServer);
+  CHECK(observer.mNotSent.empty());
+}
+
+TEST_CASE("answers that were written leave nothing behind and report nothing")
+{
+  // Guards against an exchange that is kept for good, and false reports.
+  fake_connection_observer observer;
+  loopback_server server;
+  uint64_t pendingId = 0;
+  server = ServeOnLoopback([&](http_exchange& aExchange) {
+    if (aExchange.Method() == "GET") {
+      pendingId = aExchange.Id();
+      return;
+    }
+    server.mServer->Answer(aExchange.Id(), {});
+    CHECK(server.mServer->UnsentAnswers() > 0);
+  });
+  server.mServer->Observe(&observer);
+  int client = Connect(server.mPort);
+  for (int i = 0; i < 3; i++) {
+    Send(client, kRequest);
+    ExpectAnswers(client, 1);
+    RunUntilWritten(*server.mServer);
+  }
+  Send(client, std::string(kRequest) + kRequest);
+  ExpectAnswers(client, 2);
+  RunUntilWritten(*server.mServer);
+  CHECK(server.mServer->OpenConnections() == 1);
+  Send(client, "GET / HTTP/1.1\r\nHost: a.example\r\n\r\n");
+  while (pendingId == 0) {
+    g_main_context_iteration(nullptr, FALSE);
+  }
+  http_answer last;
+  last.mCloseConnection = true;
+  server.mServer->Answer(pendingId, last);
+  ExpectAnswers(client, 1);
+  RunUntilWritten(*server.mServer);
+  close(client);
+  RunLoopFor(20);
+  CHECK(server.mServer->OpenConnections() == 0);
+  CHECK(observer.mNotSent.empty());
+  CHECK(observer.mSweeps.empty());
+}
+
+TEST_CASE("an answer to a client that reads slowly stays unsent until the end")
+{
+  // Guards against an answer that counts as written while the kernel has only a
+  // part of it.
+  fake_connection_observer observer;
+  loopback_server server;
+  server = ServeOnLoopback([&](http_exchange& aExchange) {
+    http_answer large;
+    large.mBody.assign(32u << 20, 'x');
+    server.mServer->Answer(aExchange.Id(), large);
+  });
+  server.mServer->Observe(&observer);
+  int client = SendRequest(server.mPort);
+  RunLoopFor(100);
+  CHECK(server.mServer->UnsentAnswers() == 1);
+  SUBCASE("it reads all")
+  {
+    std::vector<char> chunk(1u << 20);
+    gint64 end = g_get_monotonic_time() + 5 * G_USEC_PER_SEC;
+    while (server.mServer->UnsentAnswers() > 0 &&
+           g_get_monotonic_time() < end) {
+      recv(client, chunk.data(), chunk.size(), MSG_DONTWAIT);
+      g_main_context_iteration(nullptr, FALSE);
+    }
+    CHECK(server.mServer->UnsentAnswers() == 0);
+    CHECK(observer.mNotSent.empty());
+    close(client);
+  }
+  SUBCASE("it disconnects")
+  {
+    Reset(client);
+    RunUntilWritten(*server.mServer);
+    CHECK(observer.mNotSent.size() == 1);
+  }
+  SUBCASE("the process exits")
+  {
+    server.mServer->ReportUnsent(10);
+    REQUIRE(observer.mNotSent.size() == 1);
+    CHECK(observer.mNotSent[0].mCause == unsent_cause::ProcessExit);
+    server.mServer = nullptr;
+    close(client);
+  }
+}
+
+TEST_CASE("a sweep reports what it closed")
+{
+  // Guards against a drain that closes connections in use without a trace.
+  fake_connection_observer observer;
+  loopback_server server;
+  server = ServeOnLoopback([&](http_exchange& aExchange) {
+    server.mServer->Answer(aExchange.Id(), {});
+  });
+  server.mServer->Observe(&observer);
+  server.mServer->CloseIdle();
+  CHECK(observer.mSweeps.empty());
+  int used = SendRequest(server.mPort);
+  ExpectAnswers(used, 1);
+  RunUntilWritten(*server.mServer);
+  RunLoopFor(30);
+  instant connectedAt = Now();
+  int unused = Connect(server.mPort);
+  int partial = Connect(server.mPort);
+  Send(partial, "POST /job HT");
+  RunLoopFor(20);
+  server.mServer->CloseIdle();
+  REQUIRE(observer.mSweeps.size() == 1);
+  const idle_sweep& sweep = observer.mSweeps[0];
+  CHECK(sweep.mClosed == 3);
+  CHECK(sweep.mUnused == 2);
+  CHECK(sweep.mWithPartRequest == 1);
+  CHECK(sweep.mWithUnsentAnswer == 0);
+  CHECK(sweep.mYoungest >= std::chrono::milliseconds(10));
+  CHECK(sweep.mYoungest <= Now() - connectedAt);
+  CHECK(server.mServer->Counters().mIdleClosed == 3);
+  server.mServer->CloseIdle();
+  CHECK(observer.mSweeps.size() == 1);
+  for (int fd : { used, unused, partial }) {
+    close(fd);
+  }
+}
+
+TEST_CASE("a request that has no answer at the exit is reported")
+{
+  // Guards against requests that are forgotten without a trace.
+  fake_connection_observer observer;
+  bool handled = false;
+  loopback_server server =
+    ServeOnLoopback([&](http_exchange&) { handled = true; });
+  server.mServer->Observe(&observer);
+  int client = SendRequest(server.mPort);
+  RunLoopUntil(handled);
+  server.mServer->ReportUnsent(10);
+  REQUIRE(observer.mNotSent.size() == 1);
+  CHECK(observer.mNotSent[0].mCause == unsent_cause::NoAnswer);
+  close(client);
+}
+
 } // namespace cactusmast::testing
