Log signals, the exit, idle connections closed and answers not sent

The same counts are metrics of coordinators, executors, entries and guards. The line of the exit is outside the limit of lines a second; each line is written at once, so that nothing is left to flush. No decision changed.

--- a/shell/coordinator_daemon.cc
+++ b/shell/coordinator_daemon.cc
@@ -89,6 +89,7 @@
                   TickSoon();
                 })
                 .Value());
+  mFront->Observe(&mConnectionLog);
   mReadiness = std::move(http_server::Create(
                            mSettings.mReadiness,
                            kMaxRequestBytes,
@@ -514,9 +515,17 @@
   mTransport->Flush();
 }
 
+void
+coordinator_daemon::OnExit(std::vector<event_field>* aFields)
+{
+  mFront->ReportUnsent(kMaxReportedAtExit);
+  AddConnectionFields(*mFront, aFields);
+}
+
 void
 coordinator_daemon::AddMetrics(metrics_page* aPage)
 {
+  AddConnectionMetrics(*mFront, aPage);
   const coordinator_counters& counts = mCoordinator.Counters();
   aPage->Counter(
     "cactusmast_jobs_accepted", "Jobs accepted.", double(counts.mAccepted));
--- a/shell/daemon.cc
+++ b/shell/daemon.cc
@@ -1,5 +1,6 @@
 #include "shell/daemon.h"
 
+#include <array>
 #include <chrono>
 #include <csignal>
 #include <ctime>
@@ -8,6 +9,8 @@
 #include <sstream>
 #include <unistd.h>
 
+#include "cactusmast/time_spans.h"
+
 namespace cactusmast {
 namespace {
 
@@ -54,6 +57,14 @@
   return text.str();
 }
 
+std::string_view
+Name(exit_reason aReason)
+{
+  static constexpr std::array<std::string_view, size_t(exit_reason::Count)>
+    kNames = { "drained", "deadline", "interrupted" };
+  return kNames[size_t(aReason) % kNames.size()];
+}
+
 daemon_loop::~daemon_loop()
 {
   if (mLoop != nullptr) {
@@ -67,12 +78,14 @@
   std::signal(SIGPIPE, SIG_IGN);
   mDrainTimeoutMs = aDrainTimeoutMs;
   mLoop = g_main_loop_new(nullptr, FALSE);
-  g_unix_signal_add(SIGTERM, &daemon_loop::OnSignal, this);
-  g_unix_signal_add(SIGINT, &daemon_loop::OnSignal, this);
+  mStartedAt = Now();
+  g_unix_signal_add(SIGTERM, &daemon_loop::OnTerminate, this);
+  g_unix_signal_add(SIGINT, &daemon_loop::OnInterrupt, this);
   g_unix_signal_add(SIGHUP, &daemon_loop::OnHangup, this);
   ArmTimer(milliseconds(TickIntervalMs()));
   TickSoon();
   g_main_loop_run(mLoop);
+  LogExit();
   return mAborted ? 1 : 0;
 }
 
@@ -158,28 +171,79 @@
     return;
   }
   mDraining = true;
+  mDrainBegan = Now();
   mDeadlineSource =
     g_timeout_add(mDrainTimeoutMs, &daemon_loop::OnDeadline, this);
   OnDrain();
   TickSoon();
 }
 
+void
+daemon_loop::AddDrainTime(std::vector<event_field>* aFields) const
+{
+  if (mDraining) {
+    aFields->push_back(
+      { "drain_ms", std::to_string(ToMs(Now() - mDrainBegan)) });
+  }
+}
+
+void
+daemon_loop::LogSignal(std::string_view aName)
+{
+  if (Events() == nullptr) {
+    return;
+  }
+  std::vector<event_field> fields = { { "signal", std::string(aName) } };
+  AddDrainTime(&fields);
+  Events()->Emit(event_code::SignalReceived, std::move(fields));
+}
+
+void
+daemon_loop::LogExit()
+{
+  if (Events() == nullptr) {
+    return;
+  }
+  std::vector<event_field> fields = {
+    { "reason", std::string(Name(mExitReason)) },
+    { "exit_code", mAborted ? "1" : "0" },
+    { "uptime_ms", std::to_string(ToMs(Now() - mStartedAt)) }
+  };
+  AddDrainTime(&fields);
+  OnExit(&fields);
+  Events()->Emit(event_code::ProcessStopped, std::move(fields));
+}
+
 gboolean
-daemon_loop::OnSignal(gpointer aData)
+daemon_loop::OnTerminate(gpointer aData)
 {
-  auto* self = static_cast<daemon_loop*>(aData);
-  if (!self->mDraining) {
-    self->BeginDrain();
+  static_cast<daemon_loop*>(aData)->StopOnSignal("SIGTERM");
+  return G_SOURCE_CONTINUE;
+}
+
+gboolean
+daemon_loop::OnInterrupt(gpointer aData)
+{
+  static_cast<daemon_loop*>(aData)->StopOnSignal("SIGINT");
+  return G_SOURCE_CONTINUE;
+}
+
+void
+daemon_loop::StopOnSignal(std::string_view aName)
+{
+  LogSignal(aName);
+  if (!mDraining) {
+    BeginDrain();
   } else {
-    OnDeadline(aData);
+    Abort(exit_reason::Interrupted);
   }
-  return G_SOURCE_CONTINUE;
 }
 
 gboolean
 daemon_loop::OnHangup(gpointer aData)
 {
   auto* self = static_cast<daemon_loop*>(aData);
+  self->LogSignal("SIGHUP");
   self->OnReload();
   self->TickSoon();
   return G_SOURCE_CONTINUE;
@@ -188,16 +252,22 @@
 gboolean
 daemon_loop::OnDeadline(gpointer aData)
 {
-  auto* self = static_cast<daemon_loop*>(aData);
-  if (self->mAborted) {
-    return G_SOURCE_REMOVE;
+  static_cast<daemon_loop*>(aData)->Abort(exit_reason::Deadline);
+  return G_SOURCE_REMOVE;
+}
+
+void
+daemon_loop::Abort(exit_reason aReason)
+{
+  if (mAborted) {
+    return;
   }
-  self->mAborted = true;
-  self->OnAbort();
+  mAborted = true;
+  mExitReason = aReason;
+  OnAbort();
   // A loop that always has work never runs sources of low priority, and the
   // process would be killed before it has sent its last answers.
-  self->QuitSoon(G_PRIORITY_HIGH);
-  return G_SOURCE_REMOVE;
+  QuitSoon(G_PRIORITY_HIGH);
 }
 
 } // namespace cactusmast
--- a/shell/daemon.h
+++ b/shell/daemon.h
@@ -7,7 +7,10 @@
 
 #include <glib.h>
 #include <string>
+#include <string_view>
+#include <vector>
 
+#include "cactusmast/events.h"
 #include "cactusmast/ids.h"
 #include "cactusmast/settings.h"
 
@@ -31,6 +34,19 @@
 std::string
 ReadFile(const std::string& aPath);
 
+// Why a daemon ends.
+enum class exit_reason : uint8_t
+{
+  Drained,
+  Deadline,    // the drain did not finish in time
+  Interrupted, // a second signal cut the drain short
+  Count
+};
+
+// The name of aReason in logs.
+std::string_view
+Name(exit_reason aReason);
+
 // Runs the main loop: a tick follows every input and comes at least once every
 // TickIntervalMs.
 class daemon_loop
@@ -45,6 +61,13 @@
 protected:
   daemon_loop() = default;
 
+  // Receives each signal and the exit. Null: they are not logged.
+  virtual event_sink* Events() { return nullptr; }
+  // The process exits now: adds to the fields of its last line.
+  virtual void OnExit(std::vector<event_field>* /*aFields*/) {}
+  // Adds the time since the drain began; nothing unless draining.
+  void AddDrainTime(std::vector<event_field>* aFields) const;
+
   // One turn of the daemon's work.
   virtual void OnTick() = 0;
   // The longest time between ticks. Each tick costs processor time, which is
@@ -65,9 +88,15 @@
 private:
   static gboolean OnTimer(gpointer aData);
   static gboolean OnIdle(gpointer aData);
-  static gboolean OnSignal(gpointer aData);
+  static gboolean OnTerminate(gpointer aData);
+  static gboolean OnInterrupt(gpointer aData);
   static gboolean OnHangup(gpointer aData);
   static gboolean OnDeadline(gpointer aData);
+  void StopOnSignal(std::string_view aName);
+  void LogSignal(std::string_view aName);
+  void LogExit();
+  // Cuts the drain short.
+  void Abort(exit_reason aReason);
   void RunTick();
   void ArmTimer(duration aDelay);
   void CheckDrained();
@@ -78,6 +107,9 @@
   instant mLastTick{};
   guint mDeadlineSource = 0;
   uint32_t mDrainTimeoutMs = 0;
+  instant mStartedAt{};
+  instant mDrainBegan{}; // zero: not draining
+  exit_reason mExitReason = exit_reason::Drained;
   bool mDraining = false;
   bool mAborted = false;
   bool mQuitting = false;
--- a/shell/entry_daemon.cc
+++ b/shell/entry_daemon.cc
@@ -56,6 +56,9 @@
              OnTableReply(aReply);
              TickSoon();
            })
+  , mConnectionLog(mLog, [this](std::vector<event_field>* aFields) {
+    AddDrainTime(aFields);
+  })
 {
 }
 
@@ -96,6 +99,7 @@
                   mNode->OnCallerDisconnected(aId);
                 })
                 .Value());
+  mHttp->Observe(&mConnectionLog);
   entry_options options;
   options.mName = process.mName;
   options.mIncarnation = mIncarnation;
@@ -164,6 +168,13 @@
          !mTransport->OutputPending();
 }
 
+void
+entry_daemon::OnExit(std::vector<event_field>* aFields)
+{
+  mHttp->ReportUnsent(kMaxReportedAtExit);
+  AddConnectionFields(*mHttp, aFields);
+}
+
 void
 entry_daemon::OnAbort()
 {
@@ -529,6 +540,7 @@
 entry_daemon::Metrics() const
 {
   metrics_page page;
+  AddConnectionMetrics(*mHttp, &page);
   owner_counters counters = mNode->Counters();
   const transport_counters& transport = mTransport->Counters();
   struct counter_row
--- a/shell/entry_daemon.h
+++ b/shell/entry_daemon.h
@@ -9,6 +9,7 @@
 
 #include "cactusmast/entry_node.h"
 #include "cactusmast/settings.h"
+#include "shell/connection_log.h"
 #include "shell/daemon.h"
 #include "shell/http_server.h"
 #include "shell/log_sink.h"
@@ -43,6 +44,8 @@
   void OnDrain() override;
   bool IsDrained() override;
   void OnAbort() override;
+  event_sink* Events() override { return &mLog; }
+  void OnExit(std::vector<event_field>* aFields) override;
 
 private:
   // How the answer to an open exchange is to be rendered.
@@ -84,6 +87,7 @@
   uint64_t mIncarnation;
   std::unique_ptr<peer_transport> mTransport;
   table_client mTable;
+  connection_log mConnectionLog;
   std::unique_ptr<http_server> mHttp;
   std::unique_ptr<entry_node> mNode;
   std::map<uint64_t, open_request> mOpenRequests; // by exchange
--- a/shell/executor_daemon.cc
+++ b/shell/executor_daemon.cc
@@ -68,6 +68,7 @@
       [this](http_exchange& aExchange) { OnControlRequest(aExchange); },
       [](uint64_t) {})
       .Value());
+  mControl->Observe(&mConnectionLog);
   mLog.Emit(event_code::ProcessStarted,
             { { "role", "executor" },
               { "control", mSettings.mControl },
@@ -298,9 +299,17 @@
             { { "running", std::to_string(mExecutor.Running()) } });
 }
 
+void
+executor_daemon::OnExit(std::vector<event_field>* aFields)
+{
+  mControl->ReportUnsent(kMaxReportedAtExit);
+  AddConnectionFields(*mControl, aFields);
+}
+
 void
 executor_daemon::AddMetrics(metrics_page* aPage)
 {
+  AddConnectionMetrics(*mControl, aPage);
   aPage->Gauge("cactusmast_tasks_running",
                "Tasks that may be running.",
                double(mExecutor.Running()));
--- a/shell/guard_daemon.cc
+++ b/shell/guard_daemon.cc
@@ -80,6 +80,9 @@
     mNode->OnTaskEnded(aCompletion, Now());
     TickSoon();
   })
+  , mConnectionLog(mLog, [this](std::vector<event_field>* aFields) {
+    AddDrainTime(aFields);
+  })
 {
 }
 
@@ -118,6 +121,7 @@
                 [this](http_exchange& aExchange) { OnRequest(aExchange); },
                 [](uint64_t) {})
                 .Value());
+  mHttp->Observe(&mConnectionLog);
   guard_options options;
   options.mName = process.mName;
   options.mShard = mSettings.mShard;
@@ -178,6 +182,13 @@
   return mNode->IsDrained() && !mTransport->OutputPending();
 }
 
+void
+guard_daemon::OnExit(std::vector<event_field>* aFields)
+{
+  mHttp->ReportUnsent(kMaxReportedAtExit);
+  AddConnectionFields(*mHttp, aFields);
+}
+
 void
 guard_daemon::OnAbort()
 {
@@ -244,6 +255,7 @@
 guard_daemon::Metrics() const
 {
   metrics_page page;
+  AddConnectionMetrics(*mHttp, &page);
   const guard_counters& counters = mNode->Counters();
   const transport_counters& transport = mTransport->Counters();
   page.Counter("cactusmast_guard_tasks_started_total",
--- a/shell/guard_daemon.h
+++ b/shell/guard_daemon.h
@@ -9,6 +9,7 @@
 #include "cactusmast/guard_node.h"
 #include "cactusmast/settings.h"
 #include "shell/backend_client.h"
+#include "shell/connection_log.h"
 #include "shell/daemon.h"
 #include "shell/http_server.h"
 #include "shell/log_sink.h"
@@ -37,6 +38,8 @@
   void OnDrain() override;
   bool IsDrained() override;
   void OnAbort() override;
+  event_sink* Events() override { return &mLog; }
+  void OnExit(std::vector<event_field>* aFields) override;
 
 private:
   explicit guard_daemon(const guard_settings& aSettings);
@@ -51,6 +54,7 @@
   std::unique_ptr<peer_transport> mTransport;
   table_client mTable;
   backend_client mBackend;
+  connection_log mConnectionLog;
   std::unique_ptr<http_server> mHttp;
   std::unique_ptr<guard_node> mNode;
 };
--- a/shell/instance_daemon.cc
+++ b/shell/instance_daemon.cc
@@ -37,6 +37,9 @@
   , mLog(aSettings.mName, severity::Info, log_stream::Output)
   , mIncarnation(MakeIncarnation())
   , mDirectory(aOwnAddress)
+  , mConnectionLog(mLog, [this](std::vector<event_field>* aFields) {
+    AddDrainTime(aFields);
+  })
 {
   for (const std::string& seed : aSettings.SeedAddresses()) {
     mDirectory.Add(seed, true, Now());
--- a/shell/instance_daemon.h
+++ b/shell/instance_daemon.h
@@ -12,6 +12,7 @@
 #include "cactusmast/entry_directory.h"
 #include "cactusmast/instance_settings.h"
 #include "cactusmast/table_watcher.h"
+#include "shell/connection_log.h"
 #include "shell/daemon.h"
 #include "shell/http_server.h"
 #include "shell/log_sink.h"
@@ -38,6 +39,7 @@
 
   // Opens the peer port and the metrics page; throws failure.
   void OpenInstance();
+  event_sink* Events() override { return &mLog; }
   // Adds the metrics of the derived daemon.
   virtual void AddMetrics(metrics_page* aPage) = 0;
 
@@ -63,6 +65,7 @@
   uint64_t mIncarnation;
   entry_directory mDirectory;
   std::unique_ptr<peer_transport> mTransport;
+  connection_log mConnectionLog;
 
 private:
   std::unique_ptr<http_server> mMetricsServer;
--- a/shell/log_sink.cc
+++ b/shell/log_sink.cc
@@ -170,7 +170,9 @@
             { { "lines", std::to_string(dropped) } });
     }
   }
-  if (aRow.mSeverity == severity::Error) {
+  // The last line of a process tells how it ended.
+  if (aRow.mSeverity == severity::Error ||
+      aRow.mCode == event_code::ProcessStopped) {
     return true;
   }
   bool isProgress = IsJobProgress(aRow.mCode);
--- a/shell/metrics_page.cc
+++ b/shell/metrics_page.cc
@@ -52,24 +52,47 @@
 }
 
 void
-metrics_page::Gauges(const std::string& aName,
-                     const std::string& aHelp,
-                     const std::string& aLabel,
-                     const std::map<std::string, double>& aValues)
+metrics_page::AddLabelled(const std::string& aName,
+                          const std::string& aHelp,
+                          prometheus::MetricType aType,
+                          const std::string& aLabel,
+                          const std::map<std::string, double>& aValues)
 {
   prometheus::MetricFamily family;
   family.name = aName;
   family.help = aHelp;
-  family.type = prometheus::MetricType::Gauge;
+  family.type = aType;
   for (const auto& [label, value] : aValues) {
     prometheus::ClientMetric metric;
     metric.label.push_back({ aLabel, label });
-    metric.gauge.value = value;
+    if (aType == prometheus::MetricType::Counter) {
+      metric.counter.value = value;
+    } else {
+      metric.gauge.value = value;
+    }
     family.metric.push_back(metric);
   }
   mFamilies.push_back(std::move(family));
 }
 
+void
+metrics_page::Gauges(const std::string& aName,
+                     const std::string& aHelp,
+                     const std::string& aLabel,
+                     const std::map<std::string, double>& aValues)
+{
+  AddLabelled(aName, aHelp, prometheus::MetricType::Gauge, aLabel, aValues);
+}
+
+void
+metrics_page::Counters(const std::string& aName,
+                       const std::string& aHelp,
+                       const std::string& aLabel,
+                       const std::map<std::string, double>& aValues)
+{
+  AddLabelled(aName, aHelp, prometheus::MetricType::Counter, aLabel, aValues);
+}
+
 void
 metrics_page::Latency(const std::string& aName,
                       const std::string& aHelp,
--- a/shell/metrics_page.h
+++ b/shell/metrics_page.h
@@ -30,6 +30,11 @@
               const std::string& aHelp,
               const std::string& aLabel,
               const std::map<std::string, double>& aValues);
+  // A counter with the label aLabel. aValues: counter by value of the label.
+  void Counters(const std::string& aName,
+                const std::string& aHelp,
+                const std::string& aLabel,
+                const std::map<std::string, double>& aValues);
   // A histogram in seconds, the usual unit of the format.
   void Latency(const std::string& aName,
                const std::string& aHelp,
@@ -41,6 +46,11 @@
            const std::string& aHelp,
            prometheus::MetricType aType,
            double aValue);
+  void AddLabelled(const std::string& aName,
+                   const std::string& aHelp,
+                   prometheus::MetricType aType,
+                   const std::string& aLabel,
+                   const std::map<std::string, double>& aValues);
 
   std::vector<prometheus::MetricFamily> mFamilies;
 };
