A burst of refusals no longer hides how a process stops; count abandoned sockets

Change: events of a stop have 100 lines a second of their own on top. The new test fails without it (1 line of 31) and passes with it.

Seen: connections_open was 86 with 40 callers. A connection that has carried a request and that its client closes keeps its descriptor for good, with a bare SoupServer of libsoup 3.2.3 as well (1, 21, 41, 61, 81 descriptors after four times 20 clients; a coordinator 4, 24, 44, 64, 84; likewise). Not mended here; the gauge cactusmast_connections_abandoned and the field of process_stopped show it.

--- a/shell/connection_log.cc
+++ b/shell/connection_log.cc
@@ -66,6 +66,8 @@
     { "unsent_answers", std::to_string(aServer.UnsentAnswers()) });
   aFields->push_back(
     { "connections", std::to_string(aServer.OpenConnections()) });
+  aFields->push_back(
+    { "abandoned", std::to_string(aServer.AbandonedConnections()) });
 }
 
 void
@@ -85,8 +87,11 @@
                  "Idle connections closed while draining.",
                  double(counts.mIdleClosed));
   aPage->Gauge("cactusmast_connections_open",
-               "Open connections of clients.",
+               "Connections of clients that have a descriptor.",
                double(aServer.OpenConnections()));
+  aPage->Gauge("cactusmast_connections_abandoned",
+               "Those of them that their clients have closed.",
+               double(aServer.AbandonedConnections()));
   aPage->Gauge("cactusmast_requests_open",
                "Requests that have not been answered yet.",
                double(aServer.OpenExchanges()));
--- a/shell/http_server.cc
+++ b/shell/http_server.cc
@@ -373,6 +373,20 @@
   return count;
 }
 
+size_t
+http_server::AbandonedConnections() const
+{
+  size_t count = 0;
+  for (const auto& group : mGroups) {
+    for (const auto& [socket, connection] : group->mOpenSockets) {
+      bool abandoned =
+        !g_socket_is_closed(socket) && Peek(socket) == peek_result::End;
+      count += abandoned ? 1 : 0;
+    }
+  }
+  return count;
+}
+
 void
 http_server::NoteReceived(const connection_group& aGroup,
                           http_exchange* aExchange)
--- a/shell/http_server.h
+++ b/shell/http_server.h
@@ -139,8 +139,10 @@
   size_t OpenExchanges() const { return mExchanges.size(); }
   // Answers that libsoup has neither finished writing nor given up.
   size_t UnsentAnswers() const { return mUnsentAnswers.size(); }
-  // Connections of clients, and those that are being closed.
+  // Connections that have a descriptor.
   size_t OpenConnections() const;
+  // Those of them whose clients have closed them.
+  size_t AbandonedConnections() const;
   const connection_counters& Counters() const { return mCounters; }
   // Requests received since the start.
   uint64_t ReceivedRequests() const { return mRequestCount; }
--- a/shell/log_sink.cc
+++ b/shell/log_sink.cc
@@ -23,6 +23,10 @@
 // log.
 constexpr uint32_t kMaxProgressLinesPerSecond = 350;
 
+// Added to the limit for lines that tell how a process stops and which requests
+// it leaves without an answer: a burst of refusals would hide them.
+constexpr uint32_t kStopLinesPerSecond = 100;
+
 // Lines that the stream did not accept and that were not reported yet.
 uint64_t gUnwrittenLines = 0;
 
@@ -121,6 +125,23 @@
          aCode == event_code::AttemptEnded;
 }
 
+// Whether the event tells how a process stops or a request ends without answer.
+bool
+IsAboutStop(event_code aCode)
+{
+  switch (aCode) {
+    case event_code::ProcessDraining:
+    case event_code::ProcessStopped:
+    case event_code::DrainDeadline:
+    case event_code::SignalReceived:
+    case event_code::AnswerNotSent:
+    case event_code::IdleConnectionsClosed:
+      return true;
+    default:
+      return false;
+  }
+}
+
 } // namespace
 
 std::string
@@ -176,8 +197,10 @@
     return true;
   }
   bool isProgress = IsJobProgress(aRow.mCode);
+  uint32_t limit =
+    kMaxLinesPerSecond + (IsAboutStop(aRow.mCode) ? kStopLinesPerSecond : 0);
   bool over =
-    mLinesInSecond >= kMaxLinesPerSecond ||
+    mLinesInSecond >= limit ||
     (isProgress && mProgressLinesInSecond >= kMaxProgressLinesPerSecond);
   if (over) {
     mDroppedLines++;
--- a/shell/log_sink.h
+++ b/shell/log_sink.h
@@ -1,10 +1,11 @@
 // Structured logs: one JSON object per line, written through Boost.Log.
 //
 // Writing never blocks. Lines that the stream does not accept immediately are
-// dropped. Lines below severity Error, except the one of the exit, are limited
-// to kMaxLinesPerSecond, of which progress events of jobs get only a part;
-// those beyond are dropped as well. The number of dropped lines is logged, at
-// most once a second.
+// dropped. Lines below severity Error are limited to kMaxLinesPerSecond, of
+// which progress events of jobs get only a part; those beyond are dropped as
+// well, except the one of the exit. Events of a stop have a further
+// kStopLinesPerSecond. The number of dropped lines is logged, at most once a
+// second.
 
 #ifndef SHELL_LOG_SINK_H_
 #define SHELL_LOG_SINK_H_
--- a/shell/testing/log_sink_test.cc
+++ b/shell/testing/log_sink_test.cc
@@ -79,4 +79,22 @@
   CHECK(endings == 250);
 }
 
+TEST_CASE("a burst of refusals does not crowd out how a process stops")
+{
+  // Guards against a drain whose sweeps, signals and exit are not in the log.
+  log_sink log("edge-1", severity::Info);
+  size_t lines = CountOccurrences("\"drain_ms\"", [&] {
+    for (int i = 0; i < 1000; i++) {
+      log.Emit(event_code::JobRefused, { { "reason", "draining" } });
+    }
+    for (int i = 0; i < 10; i++) {
+      log.Emit(event_code::SignalReceived, { { "drain_ms", "1" } });
+      log.Emit(event_code::IdleConnectionsClosed, { { "drain_ms", "1" } });
+      log.Emit(event_code::AnswerNotSent, { { "drain_ms", "1" } });
+    }
+    log.Emit(event_code::ProcessStopped, { { "drain_ms", "1" } });
+  });
+  CHECK(lines == 31);
+}
+
 } // namespace cactusmast
