--- a/shell/http_server.cc
+++ b/shell/http_server.cc
@@ -379,8 +379,9 @@
   size_t count = 0;
   for (const auto& group : mGroups) {
     for (const auto& [socket, connection] : group->mOpenSockets) {
-      bool abandoned =
-        !g_socket_is_closed(socket) && Peek(socket) == peek_result::End;
+      bool abandoned = !connection->mClosedAsIdle &&
+                       !g_socket_is_closed(socket) &&
+                       Peek(socket) == peek_result::End;
       count += abandoned ? 1 : 0;
     }
   }
@@ -661,7 +662,10 @@
   for (const auto& [message, exchange] : mUnsentAnswers) {
     if (!exchange->mWritten && !exchange->mAbandoned && reported < aMax) {
       reported++;
-      ReportNotSent(*exchange, unsent_cause::ProcessExit);
+      ReportNotSent(*exchange,
+                    exchange->mConnection->mClosedAsIdle
+                      ? unsent_cause::ClosedAsIdle
+                      : unsent_cause::ProcessExit);
     }
   }
   for (const auto& [id, exchange] : mExchanges) {
