A repeated SIGTERM does not cut a drain short

Callers saw: jobs in flight answered with 504, or cut off, although the stop of their entry was planned. Cause: a second SIGTERM during a drain ended it at once: open jobs were given up and the process left 0.3 s later. Planned stops come in series that may overlap, so an entry that drains may well be told to stop again. Evidence: the new test, three signals during a drain of 400 ms, failed before: exit code 1 and the drain was broken off after the second one. Change: SIGTERM only begins a drain; a second SIGINT, from a terminal, still cuts it short. The loop removes its sources when it is destroyed, and its signal handlers when it returns, so that several loops can run in one test program. Not shown: that the platform of the users sends a second SIGTERM.

--- a/shell/daemon.cc
+++ b/shell/daemon.cc
@@ -19,6 +19,15 @@
 // Time between the end of the drain and the exit, in which the last answers are
 // sent.
 constexpr guint kExitFlushMs = 300;
+// Removes a source if there is one.
+void
+RemoveSource(guint* aId)
+{
+  if (*aId != 0) {
+    g_source_remove(*aId);
+    *aId = 0;
+  }
+}
 
 } // namespace
 
@@ -67,6 +76,10 @@
 
 daemon_loop::~daemon_loop()
 {
+  for (guint* id :
+       { &mTickSource, &mTimerSource, &mDeadlineSource, &mQuitSource }) {
+    RemoveSource(id);
+  }
   if (mLoop != nullptr) {
     g_main_loop_unref(mLoop);
   }
@@ -79,12 +92,17 @@
   mDrainTimeoutMs = aDrainTimeoutMs;
   mLoop = g_main_loop_new(nullptr, FALSE);
   mStartedAt = Now();
-  g_unix_signal_add(SIGTERM, &daemon_loop::OnTerminate, this);
-  g_unix_signal_add(SIGINT, &daemon_loop::OnInterrupt, this);
-  g_unix_signal_add(SIGHUP, &daemon_loop::OnHangup, this);
+  const guint signalSources[] = {
+    g_unix_signal_add(SIGTERM, &daemon_loop::OnTerminate, this),
+    g_unix_signal_add(SIGINT, &daemon_loop::OnInterrupt, this),
+    g_unix_signal_add(SIGHUP, &daemon_loop::OnHangup, this)
+  };
   ArmTimer(milliseconds(TickIntervalMs()));
   TickSoon();
   g_main_loop_run(mLoop);
+  for (guint source : signalSources) {
+    g_source_remove(source);
+  }
   LogExit();
   return mAborted ? 1 : 0;
 }
@@ -110,7 +128,7 @@
 daemon_loop::ArmTimer(duration aDelay)
 {
   auto delayMs = std::chrono::ceil<milliseconds>(aDelay).count();
-  g_timeout_add(guint(delayMs), &daemon_loop::OnTimer, this);
+  mTimerSource = g_timeout_add(guint(delayMs), &daemon_loop::OnTimer, this);
 }
 
 gboolean
@@ -153,14 +171,17 @@
 void
 daemon_loop::QuitSoon(gint aPriority)
 {
-  g_timeout_add_full(
+  RemoveSource(&mQuitSource);
+  mQuitSource = g_timeout_add_full(
     aPriority,
     kExitFlushMs,
-    [](gpointer aLoop) -> gboolean {
-      g_main_loop_quit(static_cast<GMainLoop*>(aLoop));
+    [](gpointer aData) -> gboolean {
+      auto* self = static_cast<daemon_loop*>(aData);
+      self->mQuitSource = 0;
+      g_main_loop_quit(self->mLoop);
       return G_SOURCE_REMOVE;
     },
-    mLoop,
+    this,
     nullptr);
 }
 
@@ -214,29 +235,29 @@
   Events()->Emit(event_code::ProcessStopped, std::move(fields));
 }
 
+// Planned stops come in series that may overlap, so a process that drains may
+// be told to stop again.
 gboolean
 daemon_loop::OnTerminate(gpointer aData)
 {
-  static_cast<daemon_loop*>(aData)->StopOnSignal("SIGTERM");
+  auto* self = static_cast<daemon_loop*>(aData);
+  self->LogSignal("SIGTERM");
+  self->BeginDrain();
   return G_SOURCE_CONTINUE;
 }
 
+// The second one is from a person at a terminal who does not want to wait.
 gboolean
 daemon_loop::OnInterrupt(gpointer aData)
 {
-  static_cast<daemon_loop*>(aData)->StopOnSignal("SIGINT");
-  return G_SOURCE_CONTINUE;
-}
-
-void
-daemon_loop::StopOnSignal(std::string_view aName)
-{
-  LogSignal(aName);
-  if (!mDraining) {
-    BeginDrain();
+  auto* self = static_cast<daemon_loop*>(aData);
+  self->LogSignal("SIGINT");
+  if (!self->mDraining) {
+    self->BeginDrain();
   } else {
-    Abort(exit_reason::Interrupted);
+    self->Abort(exit_reason::Interrupted);
   }
+  return G_SOURCE_CONTINUE;
 }
 
 gboolean
@@ -252,7 +273,9 @@
 gboolean
 daemon_loop::OnDeadline(gpointer aData)
 {
-  static_cast<daemon_loop*>(aData)->Abort(exit_reason::Deadline);
+  auto* self = static_cast<daemon_loop*>(aData);
+  self->mDeadlineSource = 0;
+  self->Abort(exit_reason::Deadline);
   return G_SOURCE_REMOVE;
 }
 
--- a/shell/daemon.h
+++ b/shell/daemon.h
@@ -1,5 +1,5 @@
 // What every daemon of the system shares: the GLib main loop, the clock, and
-// the drain on SIGTERM or SIGINT, which a second signal or a timeout cuts
+// the drain on SIGTERM or SIGINT, which a timeout or a second SIGINT cuts
 // short.
 
 #ifndef SHELL_DAEMON_H_
@@ -39,7 +39,7 @@
 {
   Drained,
   Deadline,    // the drain did not finish in time
-  Interrupted, // a second signal cut the drain short
+  Interrupted, // a second SIGINT cut the drain short
   Count
 };
 
@@ -55,7 +55,7 @@
   virtual ~daemon_loop();
 
   // Returns the exit code when the process should exit: 0 after a complete
-  // drain, 1 when it was cut short after aDrainTimeoutMs or by a second signal.
+  // drain, 1 when it was cut short after aDrainTimeoutMs or by a second SIGINT.
   int Run(uint32_t aDrainTimeoutMs);
 
 protected:
@@ -75,7 +75,7 @@
   virtual uint32_t TickIntervalMs() const { return 10; }
   virtual void OnDrain() = 0;
   virtual bool IsDrained() = 0;
-  // The drain timed out, or a second signal came.
+  // The drain was cut short.
   virtual void OnAbort() = 0;
   // SIGHUP: the settings file may have changed.
   virtual void OnReload() {}
@@ -92,7 +92,6 @@
   static gboolean OnInterrupt(gpointer aData);
   static gboolean OnHangup(gpointer aData);
   static gboolean OnDeadline(gpointer aData);
-  void StopOnSignal(std::string_view aName);
   void LogSignal(std::string_view aName);
   void LogExit();
   // Cuts the drain short.
@@ -100,12 +99,16 @@
   void RunTick();
   void ArmTimer(duration aDelay);
   void CheckDrained();
+  // Ends the main loop once the last answers are sent.
   void QuitSoon(gint aPriority);
 
   GMainLoop* mLoop = nullptr;
-  guint mTickSource = 0; // source of the tick that is scheduled; 0: none
-  instant mLastTick{};
+  // Ids of sources; 0 for none.
+  guint mTickSource = 0; // of the tick that is scheduled
+  guint mTimerSource = 0;
   guint mDeadlineSource = 0;
+  guint mQuitSource = 0;
+  instant mLastTick{};
   uint32_t mDrainTimeoutMs = 0;
   instant mStartedAt{};
   instant mDrainBegan{}; // zero: not draining
--- a/shell/testing/daemon_test.cc
+++ b/shell/testing/daemon_test.cc
@@ -36,8 +36,52 @@
   bool mWasAborted = false;
 };
 
+// A daemon whose drain takes a given time.
+class draining_daemon : public daemon_loop
+{
+public:
+  explicit draining_daemon(milliseconds aDrainTime)
+    : mDrainTime(aDrainTime)
+  {
+  }
+  bool Aborted() const { return mWasAborted; }
+
+protected:
+  void OnTick() override {}
+  void OnDrain() override { mDrainedAt = Now() + mDrainTime; }
+  bool IsDrained() override { return Now() >= mDrainedAt; }
+  void OnAbort() override { mWasAborted = true; }
+
+private:
+  milliseconds mDrainTime;
+  instant mDrainedAt{};
+  bool mWasAborted = false;
+};
+
+gboolean
+RaiseTerminate(gpointer /*aData*/)
+{
+  std::raise(SIGTERM);
+  return G_SOURCE_REMOVE;
+}
+
 } // namespace
 
+TEST_CASE("a stop signal that is repeated does not cut a drain short")
+{
+  // Guards against overlapping series of planned stops that break off the
+  // requests in flight.
+  draining_daemon daemon(milliseconds(400));
+  for (guint delayMs : { 20, 100, 200 }) {
+    g_timeout_add(delayMs, &RaiseTerminate, nullptr);
+  }
+  instant startedAt = Now();
+  int code = daemon.Run(5000);
+  CHECK(code == 0);
+  CHECK_FALSE(daemon.Aborted());
+  CHECK(Now() - startedAt >= milliseconds(400));
+}
+
 TEST_CASE("a drain ends at its deadline even if the loop always has work")
 {
   // Guards against a main loop under constant load that never checks the drain
@@ -45,13 +89,7 @@
   constexpr uint32_t kDrainMs = 200;
   // Static because its source stays in the main context, which later tests run.
   static busy_daemon daemon;
-  g_timeout_add(
-    50,
-    [](gpointer) -> gboolean {
-      std::raise(SIGTERM);
-      return G_SOURCE_REMOVE;
-    },
-    nullptr);
+  g_timeout_add(50, &RaiseTerminate, nullptr);
   instant startedAt = Now();
   int code = daemon.Run(kDrainMs);
   CHECK(code == 1);
