Signals that arrive while a program starts wait for its main loop

Callers saw: connections reset by an entry that ended without a drain; after SIGHUP the entry was missing until somebody restarted it. Cause: the handlers of signals are installed when the main loop starts, after settings were read and sockets opened. Until then SIGTERM and SIGHUP have their default action and end the process. Evidence: with real processes, entries that were told to stop just after their start ended by signal 15 within 2 to 4 ms. The new test raises SIGHUP and SIGTERM in the start of a program; before, the process was ended by the signal. Change: the signals are blocked from the first line of main until the loop has its handlers, which then receive what came meanwhile. What comes before main, loading the program, is not covered.

--- a/shell/daemon.cc
+++ b/shell/daemon.cc
@@ -19,6 +19,17 @@
 // Time between the end of the drain and the exit, in which the last answers are
 // sent.
 constexpr guint kExitFlushMs = 300;
+void
+ChangeSignalMask(int aHow)
+{
+  sigset_t handled;
+  sigemptyset(&handled);
+  for (int signal : { SIGTERM, SIGINT, SIGHUP }) {
+    sigaddset(&handled, signal);
+  }
+  pthread_sigmask(aHow, &handled, nullptr);
+}
+
 // Removes a source if there is one.
 void
 RemoveSource(guint* aId)
@@ -74,6 +85,12 @@
   return kNames[size_t(aReason) % kNames.size()];
 }
 
+void
+HoldSignals()
+{
+  ChangeSignalMask(SIG_BLOCK);
+}
+
 daemon_loop::~daemon_loop()
 {
   for (guint* id :
@@ -97,6 +114,7 @@
     g_unix_signal_add(SIGINT, &daemon_loop::OnInterrupt, this),
     g_unix_signal_add(SIGHUP, &daemon_loop::OnHangup, this)
   };
+  ChangeSignalMask(SIG_UNBLOCK);
   ArmTimer(milliseconds(TickIntervalMs()));
   TickSoon();
   g_main_loop_run(mLoop);
--- a/shell/daemon.h
+++ b/shell/daemon.h
@@ -47,6 +47,11 @@
 std::string_view
 Name(exit_reason aReason);
 
+// Blocks the signals that daemon_loop handles until its Run. Without this, one
+// that arrives while the process starts would end it.
+void
+HoldSignals();
+
 // Runs the main loop: a tick follows every input and comes at least once every
 // TickIntervalMs.
 class daemon_loop
--- a/shell/daemon_main.h
+++ b/shell/daemon_main.h
@@ -19,6 +19,7 @@
 int
 RunOrReport(Main aMain)
 {
+  HoldSignals();
   IgnoreOwnWakeups();
   try {
     return aMain();
--- a/shell/testing/daemon_test.cc
+++ b/shell/testing/daemon_test.cc
@@ -3,8 +3,11 @@
 #include <doctest/doctest.h>
 
 #include <csignal>
+#include <sys/wait.h>
+#include <unistd.h>
 
 #include "shell/daemon.h"
+#include "shell/daemon_main.h"
 
 namespace cactusmast::testing {
 namespace {
@@ -82,6 +85,38 @@
   CHECK(Now() - startedAt >= milliseconds(400));
 }
 
+TEST_CASE("a signal that arrives while a program starts does not end it")
+{
+  // Guards against a process that dies when it is told to reload as it starts.
+  for (int signal : { SIGHUP, SIGTERM }) {
+    pid_t child = fork();
+    REQUIRE(child >= 0);
+    if (child == 0) {
+      std::signal(signal, SIG_DFL);
+      _exit(RunOrReport([signal] {
+        std::raise(signal);
+        return 0;
+      }));
+    }
+    int status = 0;
+    REQUIRE(waitpid(child, &status, 0) == child);
+    CHECK(WIFEXITED(status));
+  }
+}
+
+TEST_CASE("a stop signal that arrives while a program starts begins a drain")
+{
+  // Guards against a stop that is forgotten, so that the process is killed.
+  draining_daemon daemon(milliseconds(0));
+  guint fallback = g_timeout_add(2000, &RaiseTerminate, nullptr);
+  HoldSignals();
+  std::raise(SIGTERM);
+  instant startedAt = Now();
+  CHECK(daemon.Run(5000) == 0);
+  CHECK(Now() - startedAt < milliseconds(2000));
+  g_source_remove(fallback);
+}
+
 TEST_CASE("a drain ends at its deadline even if the loop always has work")
 {
   // Guards against a main loop under constant load that never checks the drain
