A connection whose answer is not written yet is not idle

Callers saw: a whole request, accepted and carried out, got neither an answer nor a refusal; its connection closed three seconds or later after its entry was told to stop. Cause: from its third second on, a drain closes idle connections each 100 ms. Answer() takes the exchange from the open ones at once, while libsoup writes the answer in a later turn of the loop. Between the two the connection counted as idle. Change: a connection with an unsent answer is not idle. Why it works: an answer stays in the unsent ones until libsoup has written it or has given the connection up, so no turn of the loop lies between.

--- a/shell/http_server.cc
+++ b/shell/http_server.cc
@@ -329,9 +329,10 @@
   idle_sweep sweep;
   for (const auto& group : mGroups) {
     for (const auto& [socket, connection] : group->mOpenSockets) {
-      bool idle =
-        busy.count(socket) == 0 && group->mReadingRequest.count(socket) == 0 &&
-        !g_socket_is_closed(socket) && Peek(socket) == peek_result::Nothing;
+      bool idle = busy.count(socket) == 0 && connection->mUnsentAnswers == 0 &&
+                  group->mReadingRequest.count(socket) == 0 &&
+                  !g_socket_is_closed(socket) &&
+                  Peek(socket) == peek_result::Nothing;
       if (idle) {
         CloseAsIdle(socket, *connection, now, &sweep);
       }
--- a/shell/testing/http_server_test.cc
+++ b/shell/testing/http_server_test.cc
@@ -267,6 +267,23 @@
   }
 }
 
+TEST_CASE("a drain does not close a connection whose answer is not written yet")
+{
+  // Guards against a caller whose job has run and who gets no answer.
+  uint64_t pendingId = 0;
+  bool handled = false;
+  loopback_server server = ServeOnLoopback([&](http_exchange& aExchange) {
+    pendingId = aExchange.Id();
+    handled = true;
+  });
+  int client = SendRequest(server.mPort);
+  RunLoopUntil(handled);
+  server.mServer->Answer(pendingId, {});
+  server.mServer->CloseIdle();
+  ExpectAnswers(client, 1);
+  close(client);
+}
+
 TEST_CASE("a client that disconnects before its answer is detected in time")
 {
   // A caller disconnects while its job runs and resubmits it to another entry
