A drain refuses on a connection before it closes it as idle

Callers saw: a request over a kept connection got no answer, because the entry closed the connection as idle while the request was on its way. Nothing told the caller whether it was run. A request that arrives after that is dropped without being handled, so the refusal is true for it. A client that was idle sees the connection closed; 408 is used in this way on the web, 503 is what the callers' contract has for a job that was not accepted.

--- a/shell/coordinator_daemon.h
+++ b/shell/coordinator_daemon.h
@@ -121,6 +121,8 @@
                       const std::string& aReason,
                       milliseconds aRetryAfter) const;
 
+  failure DrainingRefusal() const;
+
   bool IsDraining() const { return mDrainingSince.count() != 0; }
   // Zero unless draining.
   duration DrainingFor() const
--- a/shell/coordinator_requests.cc
+++ b/shell/coordinator_requests.cc
@@ -103,7 +103,7 @@
     return;
   }
   mNextIdleClose = aNow + kCloseIdleInterval;
-  mFront->CloseIdle();
+  mFront->CloseIdle(duration{}, ErrorAnswer(DrainingRefusal()));
 }
 
 void
@@ -186,6 +186,15 @@
     aCode, aStep, mInstance.mName, aReason, run_state::NotRun, aRetryAfter);
 }
 
+failure
+coordinator_daemon::DrainingRefusal() const
+{
+  return MakeRefusal(error_code::Draining,
+                     "submit",
+                     "this entry is draining",
+                     kOtherEntryRetryAfter);
+}
+
 result<job_submission>
 coordinator_daemon::ReadSubmission(const http_exchange& aExchange,
                                    const route_table& aTable,
@@ -203,10 +212,7 @@
   result<job_submission> decoded =
     mAdapter.mCallers.DecodeJob(aExchange.Body());
   if (decoded.Ok() && !(AcceptsJobs() && EndsWithinDrain(decoded.Value()))) {
-    return MakeRefusal(error_code::Draining,
-                       "submit",
-                       "this entry is draining",
-                       kOtherEntryRetryAfter);
+    return DrainingRefusal();
   }
   return decoded;
 }
--- a/shell/http_server.cc
+++ b/shell/http_server.cc
@@ -136,6 +136,36 @@
   return listening;
 }
 
+int64_t
+RetryAfterSeconds(const http_answer& aAnswer)
+{
+  return (aAnswer.mRetryAfterMs + 999) / 1000;
+}
+
+// Whether bytes arrived that do not belong to the requests read so far.
+bool
+HasPartOfRequest(GSocket* aSocket, const client_connection& aConnection)
+{
+  return ReceivedBytes(g_socket_get_fd(aSocket)) > aConnection.mRequestedBytes;
+}
+
+// aAnswer as bytes, for a connection that is closed after it.
+std::string
+RenderLastAnswer(const http_answer& aAnswer)
+{
+  auto status = guint(aAnswer.mStatus);
+  std::string text =
+    "HTTP/1.1 " + std::to_string(status) + " " +
+    soup_status_get_phrase(status) +
+    "\r\nConnection: close\r\nContent-Type: " + aAnswer.mContentType +
+    "\r\nContent-Length: " + std::to_string(aAnswer.mBody.size()) + "\r\n";
+  if (aAnswer.mRetryAfterMs > 0) {
+    text +=
+      "Retry-After: " + std::to_string(RetryAfterSeconds(aAnswer)) + "\r\n";
+  }
+  return text + "\r\n" + aAnswer.mBody;
+}
+
 void
 FreeBodyLimit(gpointer aData, GClosure* /*aClosure*/)
 {
@@ -318,23 +348,41 @@
   delete group;
 }
 
-void
-http_server::CloseIdle()
+std::set<GSocket*>
+http_server::BusySockets() const
 {
   std::set<GSocket*> busy;
   for (const auto& [id, exchange] : mExchanges) {
     busy.insert(SocketOf(exchange->mMessage.get()));
   }
+  return busy;
+}
+
+bool
+http_server::IsIdle(const connection_group& aGroup,
+                    GSocket* aSocket,
+                    const client_connection& aConnection)
+{
+  return aConnection.mUnsentAnswers == 0 &&
+         aGroup.mReadingRequest.count(aSocket) == 0 &&
+         !g_socket_is_closed(aSocket);
+}
+
+void
+http_server::CloseIdle(duration aMinIdle, const http_answer& aRefusal)
+{
+  const std::set<GSocket*> busy = BusySockets();
+  const std::string refusal = RenderLastAnswer(aRefusal);
   instant now = Now();
   idle_sweep sweep;
   for (const auto& group : mGroups) {
     for (const auto& [socket, connection] : group->mOpenSockets) {
-      bool idle = busy.count(socket) == 0 && connection->mUnsentAnswers == 0 &&
-                  group->mReadingRequest.count(socket) == 0 &&
-                  !g_socket_is_closed(socket) &&
-                  Peek(socket) == peek_result::Nothing;
-      if (idle) {
-        CloseAsIdle(socket, *connection, now, &sweep);
+      bool due = !connection->mClosedAsIdle &&
+                 now - connection->mLastActivity >= aMinIdle;
+      if (due && busy.count(socket) == 0 &&
+          IsIdle(*group, socket, *connection) &&
+          Peek(socket) == peek_result::Nothing) {
+        CloseAsIdle(socket, *connection, refusal, now, &sweep);
       }
     }
   }
@@ -347,6 +395,7 @@
 void
 http_server::CloseAsIdle(GSocket* aSocket,
                          client_connection& aConnection,
+                         const std::string& aRefusal,
                          instant aNow,
                          idle_sweep* aSweep)
 {
@@ -356,12 +405,34 @@
   aSweep->mClosed++;
   aSweep->mUnused += aConnection.mUsed ? 0 : 1;
   aSweep->mWithUnsentAnswer += aConnection.mUnsentAnswers > 0 ? 1 : 0;
-  bool hasPart =
-    ReceivedBytes(g_socket_get_fd(aSocket)) > aConnection.mRequestedBytes;
-  aSweep->mWithPartRequest += hasPart ? 1 : 0;
+  aSweep->mWithPartRequest += HasPartOfRequest(aSocket, aConnection) ? 1 : 0;
   aConnection.mClosedAsIdle = true;
-  // libsoup detects the shutdown and frees the connection.
-  g_socket_shutdown(aSocket, TRUE, TRUE, nullptr);
+  // Nothing else is in the buffer of an idle connection, so it has room.
+  send(g_socket_get_fd(aSocket),
+       aRefusal.data(),
+       aRefusal.size(),
+       MSG_DONTWAIT | MSG_NOSIGNAL);
+  // Not for reading: data that arrives after that would make the kernel reset
+  // the connection, and the client might lose the refusal.
+  g_socket_shutdown(aSocket, FALSE, TRUE, nullptr);
+}
+
+bool
+http_server::DropRefused(const connection_group& aGroup,
+                         SoupServerMessage* aMessage)
+{
+  auto found = aGroup.mOpenSockets.find(SocketOf(aMessage));
+  bool refused =
+    found != aGroup.mOpenSockets.end() && found->second->mClosedAsIdle;
+  if (refused) {
+    soup_server_message_set_status(
+      aMessage, SOUP_STATUS_SERVICE_UNAVAILABLE, nullptr);
+    soup_message_headers_replace(
+      soup_server_message_get_response_headers(aMessage),
+      "Connection",
+      "close");
+  }
+  return refused;
 }
 
 size_t
@@ -501,11 +572,14 @@
                        gpointer aData)
 {
   auto* self = static_cast<http_server*>(aData);
+  connection_group* group = self->GroupOf(aServer);
+  if (DropRefused(*group, aMessage)) {
+    return;
+  }
   self->mRequestCount++;
   auto owned = std::make_unique<http_exchange>();
   http_exchange& exchange = *owned;
   exchange.mId = self->mNextId++;
-  connection_group* group = self->GroupOf(aServer);
   exchange.mContext = group->mContext.get();
   group->mReadingRequest.erase(SocketOf(aMessage));
   exchange.mMethod = soup_server_message_get_method(aMessage);
@@ -715,11 +789,10 @@
                                    aAnswer.mBody.data(),
                                    aAnswer.mBody.size());
   if (aAnswer.mRetryAfterMs > 0) {
-    int64_t seconds = (aAnswer.mRetryAfterMs + 999) / 1000;
     soup_message_headers_replace(
       soup_server_message_get_response_headers(message),
       "Retry-After",
-      std::to_string(seconds).c_str());
+      std::to_string(RetryAfterSeconds(aAnswer)).c_str());
   }
   if (aAnswer.mCloseConnection) {
     soup_message_headers_replace(
--- a/shell/http_server.h
+++ b/shell/http_server.h
@@ -130,10 +130,15 @@
   // aMax of them.
   void ReportUnsent(size_t aMax);
 
-  // Closes idle connections, so that their clients open new ones, to another
-  // process if this one no longer accepts any. A connection with unread data or
-  // with a request in progress stays open.
-  void CloseIdle();
+  // Closes connections that have been idle for at least aMinIdle, so that their
+  // clients open new ones, to another process if this one no longer accepts
+  // any. A connection on which a request is being read or handled, or an answer
+  // being written, is not idle.
+  //
+  // A client may be sending a request just then. aRefusal is therefore written
+  // to each connection before it is closed, and requests that arrive after that
+  // are dropped: such a client gets a refusal, and its request is not handled.
+  void CloseIdle(duration aMinIdle, const http_answer& aRefusal);
 
   // Requests that have not been answered yet.
   size_t OpenExchanges() const { return mExchanges.size(); }
@@ -200,10 +205,21 @@
   // Keeps an answered exchange until its answer is written.
   void AwaitWritten(std::unique_ptr<http_exchange> aExchange);
   void ReportNotSent(const http_exchange& aExchange, unsent_cause aCause);
+  // The sockets of the requests that have no answer yet.
+  std::set<GSocket*> BusySockets() const;
+  // Whether no request is being read or handled and no answer written.
+  static bool IsIdle(const connection_group& aGroup,
+                     GSocket* aSocket,
+                     const client_connection& aConnection);
   static void CloseAsIdle(GSocket* aSocket,
                           client_connection& aConnection,
+                          const std::string& aRefusal,
                           instant aNow,
                           idle_sweep* aSweep);
+  // Whether the request came after CloseIdle had refused it. Lets libsoup end
+  // its connection.
+  static bool DropRefused(const connection_group& aGroup,
+                          SoupServerMessage* aMessage);
   static gboolean OnDisconnectTimer(gpointer aData);
   void StartDisconnectTimer();
   // Ends the exchanges whose clients have disconnected.
--- a/shell/testing/http_server_test.cc
+++ b/shell/testing/http_server_test.cc
@@ -19,6 +19,11 @@
 constexpr char kRequest[] =
   "POST /job HTTP/1.1\r\nHost: a.example\r\nContent-Length: 2\r\n\r\n{}";
 
+// Long enough for the server to accept a connection and read what was sent.
+constexpr guint kReadMs = 50;
+constexpr duration kNoMinIdle{};
+const http_answer kRefusal{ 503, "{}", "application/json", 1000, true };
+
 int
 Connect(uint16_t aPort)
 {
@@ -117,6 +122,28 @@
   CHECK(answers == aCount);
 }
 
+// Runs the main loop until the client has read all that comes, which must be
+// one refusal.
+void
+ExpectRefusalAndEnd(int aFd)
+{
+  std::string received;
+  bool ended = false;
+  gint64 end = g_get_monotonic_time() + 5 * G_USEC_PER_SEC;
+  while (!ended && g_get_monotonic_time() < end) {
+    g_main_context_iteration(nullptr, FALSE);
+    char chunk[4096];
+    ssize_t size = recv(aFd, chunk, sizeof chunk, MSG_DONTWAIT);
+    ended = size == 0;
+    received.append(chunk, size > 0 ? size_t(size) : 0);
+  }
+  CHECK(ended);
+  CHECK(received.rfind("HTTP/1.1 503 ", 0) == 0);
+  CHECK(received.find("\r\nRetry-After: 1\r\n") != std::string::npos);
+  CHECK(received.find("\r\nContent-Length: 2\r\n") != std::string::npos);
+  CHECK(received.substr(received.size() - 6) == "\r\n\r\n{}");
+}
+
 // The number of descriptors that the main loop polls in each turn.
 int
 PolledDescriptors()
@@ -254,14 +281,13 @@
     g_main_context_iteration(nullptr, FALSE);
   }
   Send(sending, kGetRequest); // not read yet
-  server.mServer->CloseIdle();
+  server.mServer->CloseIdle(kNoMinIdle, kRefusal);
   ExpectAnswers(sending, 1);
   server.mServer->Answer(pendingId, {});
   ExpectAnswers(waiting, 1);
   Send(partial, "{}");
   ExpectAnswers(partial, 1);
-  char byte = 0;
-  CHECK(recv(idle, &byte, 1, 0) == 0);
+  ExpectRefusalAndEnd(idle);
   for (int fd : { idle, sending, partial, waiting }) {
     close(fd);
   }
@@ -279,8 +305,27 @@
   int client = SendRequest(server.mPort);
   RunLoopUntil(handled);
   server.mServer->Answer(pendingId, {});
-  server.mServer->CloseIdle();
+  server.mServer->CloseIdle(kNoMinIdle, kRefusal);
+  ExpectAnswers(client, 1);
+  close(client);
+}
+
+TEST_CASE("a request that crosses the close of an idle connection is refused")
+{
+  // Guards against a caller who cannot tell whether its request was handled.
+  size_t handled = 0;
+  loopback_server server;
+  server = ServeOnLoopback([&](http_exchange& aExchange) {
+    server.mServer->Answer(aExchange.Id(), {});
+    handled++;
+  });
+  int client = SendRequest(server.mPort);
   ExpectAnswers(client, 1);
+  server.mServer->CloseIdle(kNoMinIdle, kRefusal);
+  Send(client, kRequest);
+  RunLoopFor(kReadMs);
+  ExpectRefusalAndEnd(client);
+  CHECK(handled == 1);
   close(client);
 }
 
@@ -449,7 +494,7 @@
     server.mServer->Answer(aExchange.Id(), {});
   });
   server.mServer->Observe(&observer);
-  server.mServer->CloseIdle();
+  server.mServer->CloseIdle(kNoMinIdle, kRefusal);
   CHECK(observer.mSweeps.empty());
   int used = SendRequest(server.mPort);
   ExpectAnswers(used, 1);
@@ -460,7 +505,7 @@
   int partial = Connect(server.mPort);
   Send(partial, "POST /job HT");
   RunLoopFor(20);
-  server.mServer->CloseIdle();
+  server.mServer->CloseIdle(kNoMinIdle, kRefusal);
   REQUIRE(observer.mSweeps.size() == 1);
   const idle_sweep& sweep = observer.mSweeps[0];
   CHECK(sweep.mClosed == 3);
@@ -470,7 +515,7 @@
   CHECK(sweep.mYoungest >= std::chrono::milliseconds(10));
   CHECK(sweep.mYoungest <= Now() - connectedAt);
   CHECK(server.mServer->Counters().mIdleClosed == 3);
-  server.mServer->CloseIdle();
+  server.mServer->CloseIdle(kNoMinIdle, kRefusal);
   CHECK(observer.mSweeps.size() == 1);
   for (int fd : { used, unused, partial }) {
     close(fd);
