A drain spares connections that were opened a moment ago

Callers saw: a connection to a draining entry closed before its first request had arrived. The test failed before. Change: a connection counts as idle 500 ms after it was accepted or its last answer was written.

--- a/shell/coordinator_requests.cc
+++ b/shell/coordinator_requests.cc
@@ -21,6 +21,10 @@
 // is accepted any more.
 constexpr duration kCloseIdleAfter = milliseconds(3000);
 constexpr duration kCloseIdleInterval = milliseconds(100);
+// A new connection's first request takes a round trip and the time for which
+// this process is busy. While no entry of a data centre is ready, the load
+// balancer opens new connections to draining ones too.
+constexpr duration kMinIdle = milliseconds(500);
 // By this time the load balancer sends nothing here. A job whose tasks would
 // outlast the drain is refused even earlier.
 constexpr duration kAcceptWhileDraining = milliseconds(4000);
@@ -103,7 +107,7 @@
     return;
   }
   mNextIdleClose = aNow + kCloseIdleInterval;
-  mFront->CloseIdle(duration{}, ErrorAnswer(DrainingRefusal()));
+  mFront->CloseIdle(kMinIdle, ErrorAnswer(DrainingRefusal()));
 }
 
 void
--- a/shell/testing/http_server_test.cc
+++ b/shell/testing/http_server_test.cc
@@ -310,6 +310,25 @@
   close(client);
 }
 
+TEST_CASE(
+  "a drain does not close a connection before its first request arrives")
+{
+  // Guards against a caller who connects to a draining entry and is cut off.
+  bool handled = false;
+  loopback_server server;
+  server = ServeOnLoopback([&](http_exchange& aExchange) {
+    server.mServer->Answer(aExchange.Id(), {});
+    handled = true;
+  });
+  int client = Connect(server.mPort);
+  RunLoopFor(kReadMs);
+  constexpr duration kMinIdle = std::chrono::seconds(10);
+  server.mServer->CloseIdle(kMinIdle, kRefusal);
+  Send(client, kRequest);
+  ExpectAnswers(client, 1);
+  close(client);
+}
+
 TEST_CASE("a request that crosses the close of an idle connection is refused")
 {
   // Guards against a caller who cannot tell whether its request was handled.
