A drain spares connections on which a part of a request has arrived

Callers saw: a request whose headers come in parts was cut off. Cause: until the headers are complete, libsoup tells nothing of a request, and what it has read is no longer in the socket, so the connection counted as idle. Change: a connection that received more bytes than its last request had is not idle. Where the kernel does not count the bytes (TCP_INFO), nothing changes.

--- a/shell/http_server.cc
+++ b/shell/http_server.cc
@@ -381,6 +381,7 @@
                  now - connection->mLastActivity >= aMinIdle;
       if (due && busy.count(socket) == 0 &&
           IsIdle(*group, socket, *connection) &&
+          !HasPartOfRequest(socket, *connection) &&
           Peek(socket) == peek_result::Nothing) {
         CloseAsIdle(socket, *connection, refusal, now, &sweep);
       }
