Connections that clients close while idle free their descriptors

Callers saw: nothing yet; an entry that runs long enough has no descriptor left and accepts nobody. Cause: when a client closes a kept connection, libsoup 3.2 reads its end, stops polling the socket and keeps it open for good. Evidence: 20 connections, a request each, closed by their clients, took 14 to 36 descriptors and stayed; four times 20 took a coordinator from 4 to 84, and a bare SoupServer likewise. The test, 20 clients, failed before. Change: each second the server looks at idle connections and closes the sockets of those whose client had closed them a second before already, when libsoup has read the end and no longer polls them. Not covered: libsoup's own objects of such a connection, some memory, stay.

--- a/shell/http_server.cc
+++ b/shell/http_server.cc
@@ -50,6 +50,10 @@
 // second to stop them.
 constexpr guint kDisconnectCheckIntervalMs = 200;
 
+// Short against the time in which closed connections could use up the
+// descriptors of a process.
+constexpr guint kAbandonedCheckIntervalS = 1;
+
 gobject_ptr<GSocket>
 OpenListener(const std::string& aListen, GError** aError)
 {
@@ -235,8 +239,10 @@
 
 http_server::~http_server()
 {
-  if (mDisconnectTimer != 0) {
-    g_source_remove(mDisconnectTimer);
+  for (guint timer : { mDisconnectTimer, mAbandonedTimer }) {
+    if (timer != 0) {
+      g_source_remove(timer);
+    }
   }
   for (auto& [id, exchange] : mExchanges) {
     g_signal_handler_disconnect(exchange->mMessage.get(),
@@ -280,6 +286,8 @@
                         server.get(),
                         nullptr);
   g_source_attach(server->mAcceptSource, nullptr);
+  server->mAbandonedTimer = g_timeout_add_seconds(
+    kAbandonedCheckIntervalS, &http_server::OnAbandonedTimer, server.get());
   return server;
 }
 
@@ -418,6 +426,37 @@
   g_socket_shutdown(aSocket, FALSE, TRUE, nullptr);
 }
 
+gboolean
+http_server::OnAbandonedTimer(gpointer aData)
+{
+  static_cast<http_server*>(aData)->CloseAbandoned();
+  return G_SOURCE_CONTINUE;
+}
+
+void
+http_server::CloseAbandoned()
+{
+  const std::set<GSocket*> busy = BusySockets();
+  for (const auto& group : mGroups) {
+    for (auto it = group->mOpenSockets.begin();
+         it != group->mOpenSockets.end();) {
+      auto& [socket, connection] = *it;
+      bool wasAbandoned = connection->mAbandoned;
+      connection->mAbandoned = busy.count(socket) == 0 &&
+                               IsIdle(*group, socket, *connection) &&
+                               Peek(socket) == peek_result::End;
+      // The second time, libsoup has read the end too and no longer polls the
+      // socket.
+      if (wasAbandoned && connection->mAbandoned) {
+        g_socket_close(socket, nullptr);
+        it = group->mOpenSockets.erase(it);
+      } else {
+        ++it;
+      }
+    }
+  }
+}
+
 bool
 http_server::DropRefused(const connection_group& aGroup,
                          SoupServerMessage* aMessage)
--- a/shell/http_server.h
+++ b/shell/http_server.h
@@ -50,6 +50,8 @@
   uint64_t mRequestedBytes = 0;
   size_t mUnsentAnswers = 0;  // answers that are not written yet
   bool mClosedAsIdle = false; // by CloseIdle
+  // The client had closed it when CloseAbandoned last looked.
+  bool mAbandoned = false;
 };
 
 // A request that has not been answered yet, or whose answer is not written yet.
@@ -216,6 +218,10 @@
                           const std::string& aRefusal,
                           instant aNow,
                           idle_sweep* aSweep);
+  static gboolean OnAbandonedTimer(gpointer aData);
+  // Closes the sockets of connections that their clients closed while idle.
+  // libsoup 3.2 does not, so that each would keep its descriptor.
+  void CloseAbandoned();
   // Whether the request came after CloseIdle had refused it. Lets libsoup end
   // its connection.
   static bool DropRefused(const connection_group& aGroup,
@@ -240,6 +246,7 @@
   uint64_t mNextId = 1;
   uint64_t mRequestCount = 0;
   guint mDisconnectTimer = 0; // source id; 0 while it is not running
+  guint mAbandonedTimer = 0;  // source id
 };
 
 } // namespace cactusmast
--- a/shell/testing/http_server_test.cc
+++ b/shell/testing/http_server_test.cc
@@ -367,6 +367,27 @@
   close(client);
 }
 
+TEST_CASE("connections that clients close while idle free their descriptors")
+{
+  // Guards against a process that runs out of descriptors after a while.
+  constexpr int kClients = 20;
+  loopback_server server;
+  server = ServeOnLoopback([&](http_exchange& aExchange) {
+    server.mServer->Answer(aExchange.Id(), {});
+  });
+  for (int i = 0; i < kClients; i++) {
+    int client = SendRequest(server.mPort);
+    ExpectAnswers(client, 1);
+    close(client);
+  }
+  gint64 end = g_get_monotonic_time() + 10 * G_USEC_PER_SEC;
+  while (server.mServer->OpenConnections() > 0 &&
+         g_get_monotonic_time() < end) {
+    g_main_context_iteration(nullptr, TRUE);
+  }
+  CHECK(server.mServer->OpenConnections() == 0);
+}
+
 TEST_CASE("a client that disconnects before its answer is detected in time")
 {
   // A caller disconnects while its job runs and resubmits it to another entry
