A process does not exit while its last answers are unsent

Callers saw: an answer given in the last moments of a stop did not arrive. Cause: an answer counts as given when it is handed to libsoup, so a drain is complete, and the exit comes 300 ms later, whatever is still unsent. The test, answers that take 400 ms to write, failed before. Change: the exit waits for unsent answers and messages, for 500 ms at most, so that a client that does not read can't make the process be killed.

--- a/shell/coordinator_daemon.cc
+++ b/shell/coordinator_daemon.cc
@@ -506,6 +506,12 @@
          mFront->OpenExchanges() == 0;
 }
 
+bool
+coordinator_daemon::OutputPending() const
+{
+  return mFront->UnsentAnswers() > 0 || instance_daemon::OutputPending();
+}
+
 void
 coordinator_daemon::OnAbort()
 {
--- a/shell/daemon.cc
+++ b/shell/daemon.cc
@@ -19,6 +19,10 @@
 // Time between the end of the drain and the exit, in which the last answers are
 // sent.
 constexpr guint kExitFlushMs = 300;
+// How long the exit waits at most for output that is still pending. A process
+// that takes longer than its time to stop is killed.
+constexpr duration kMaxExitFlush = milliseconds(500);
+constexpr guint kExitCheckMs = 10;
 void
 ChangeSignalMask(int aHow)
 {
@@ -190,17 +194,29 @@
 daemon_loop::QuitSoon(gint aPriority)
 {
   RemoveSource(&mQuitSource);
+  mQuitBy = Now() + kMaxExitFlush;
   mQuitSource = g_timeout_add_full(
-    aPriority,
-    kExitFlushMs,
-    [](gpointer aData) -> gboolean {
-      auto* self = static_cast<daemon_loop*>(aData);
-      self->mQuitSource = 0;
-      g_main_loop_quit(self->mLoop);
-      return G_SOURCE_REMOVE;
-    },
-    this,
-    nullptr);
+    aPriority, kExitFlushMs, &daemon_loop::OnQuitTimer, this, nullptr);
+}
+
+void
+daemon_loop::ArmQuitTimer(guint aDelayMs)
+{
+  mQuitSource = g_timeout_add_full(
+    G_PRIORITY_HIGH, aDelayMs, &daemon_loop::OnQuitTimer, this, nullptr);
+}
+
+gboolean
+daemon_loop::OnQuitTimer(gpointer aData)
+{
+  auto* self = static_cast<daemon_loop*>(aData);
+  if (self->OutputPending() && Now() < self->mQuitBy) {
+    self->ArmQuitTimer(kExitCheckMs);
+  } else {
+    self->mQuitSource = 0;
+    g_main_loop_quit(self->mLoop);
+  }
+  return G_SOURCE_REMOVE;
 }
 
 void
--- a/shell/daemon.h
+++ b/shell/daemon.h
@@ -82,6 +82,9 @@
   virtual bool IsDrained() = 0;
   // The drain was cut short.
   virtual void OnAbort() = 0;
+  // Whether answers or messages are not written yet. The process then exits a
+  // little later.
+  virtual bool OutputPending() const { return false; }
   // SIGHUP: the settings file may have changed.
   virtual void OnReload() {}
 
@@ -106,6 +109,8 @@
   void CheckDrained();
   // Ends the main loop once the last answers are sent.
   void QuitSoon(gint aPriority);
+  void ArmQuitTimer(guint aDelayMs);
+  static gboolean OnQuitTimer(gpointer aData);
 
   GMainLoop* mLoop = nullptr;
   // Ids of sources; 0 for none.
@@ -117,6 +122,7 @@
   uint32_t mDrainTimeoutMs = 0;
   instant mStartedAt{};
   instant mDrainBegan{}; // zero: not draining
+  instant mQuitBy{};     // the loop ends then even if output is pending
   exit_reason mExitReason = exit_reason::Drained;
   bool mDraining = false;
   bool mAborted = false;
--- a/shell/instance_daemon.h
+++ b/shell/instance_daemon.h
@@ -40,6 +40,7 @@
   // Opens the peer port and the metrics page; throws failure.
   void OpenInstance();
   event_sink* Events() override { return &mLog; }
+  bool OutputPending() const override { return mTransport->OutputPending(); }
   // Adds the metrics of the derived daemon.
   virtual void AddMetrics(metrics_page* aPage) = 0;
 
--- a/shell/testing/daemon_test.cc
+++ b/shell/testing/daemon_test.cc
@@ -39,7 +39,8 @@
   bool mWasAborted = false;
 };
 
-// A daemon whose drain takes a given time.
+// A daemon whose drain takes a given time, and whose last answers are written
+// a given time after that.
 class draining_daemon : public daemon_loop
 {
 public:
@@ -48,6 +49,12 @@
   {
   }
   bool Aborted() const { return mWasAborted; }
+  bool OutputPending() const override
+  {
+    return Now() < mDrainedAt + mWritesFor;
+  }
+
+  milliseconds mWritesFor{ 0 };
 
 protected:
   void OnTick() override {}
@@ -117,6 +124,27 @@
   g_source_remove(fallback);
 }
 
+TEST_CASE("a process does not exit before its last answers are written")
+{
+  // Guards against callers whose answers are still in buffers at the exit.
+  draining_daemon daemon(milliseconds(0));
+  daemon.mWritesFor = milliseconds(400);
+  g_timeout_add(20, &RaiseTerminate, nullptr);
+  CHECK(daemon.Run(5000) == 0);
+  CHECK_FALSE(daemon.OutputPending());
+}
+
+TEST_CASE("a process exits in time when its last answers cannot be written")
+{
+  // Guards against a process that is killed because a caller does not read.
+  draining_daemon daemon(milliseconds(0));
+  daemon.mWritesFor = milliseconds(5000);
+  g_timeout_add(20, &RaiseTerminate, nullptr);
+  instant startedAt = Now();
+  CHECK(daemon.Run(5000) == 0);
+  CHECK(Now() - startedAt < milliseconds(2000));
+}
+
 TEST_CASE("a drain ends at its deadline even if the loop always has work")
 {
   // Guards against a main loop under constant load that never checks the drain
