A deadline that passes after a complete drain does not break it off

Operators saw: drain_deadline without open jobs, and exit code 1 of a stop that had cut nobody off. Cause: the deadline was not disarmed when the drain was complete and the process only waited for its last answers. The test failed before. Change: from then on the deadline only ends the wait for an idle loop.

--- a/shell/daemon.cc
+++ b/shell/daemon.cc
@@ -309,7 +309,12 @@
 {
   auto* self = static_cast<daemon_loop*>(aData);
   self->mDeadlineSource = 0;
-  self->Abort(exit_reason::Deadline);
+  if (self->mQuitting) {
+    // The drain is complete; only the exit waits, perhaps for an idle loop.
+    self->QuitSoon(G_PRIORITY_HIGH);
+  } else {
+    self->Abort(exit_reason::Deadline);
+  }
   return G_SOURCE_REMOVE;
 }
 
--- a/shell/testing/daemon_test.cc
+++ b/shell/testing/daemon_test.cc
@@ -145,6 +145,15 @@
   CHECK(Now() - startedAt < milliseconds(2000));
 }
 
+TEST_CASE("a deadline that passes after a complete drain does not break it off")
+{
+  // Guards against a stop that counts as failed although nobody was cut off.
+  draining_daemon daemon(milliseconds(200));
+  g_timeout_add(20, &RaiseTerminate, nullptr);
+  CHECK(daemon.Run(350) == 0);
+  CHECK_FALSE(daemon.Aborted());
+}
+
 TEST_CASE("a drain ends at its deadline even if the loop always has work")
 {
   // Guards against a main loop under constant load that never checks the drain
