An exit leaves no connection in the queue of its listener

Callers saw: a request over a new connection got no answer when its entry exited. Cause: while no entry of a data centre is ready, the load balancer opens new connections to draining ones, up to the exit. The test failed to compile before, as there was no way to stop accepting. Change: 50 ms before the exit, the server accepts what is in the queue, closes its listener, so that the kernel refuses connections before a request is sent, and refuses on idle connections before it closes them.

--- a/shell/coordinator_requests.cc
+++ b/shell/coordinator_requests.cc
@@ -110,6 +110,13 @@
   mFront->CloseIdle(kMinIdle, ErrorAnswer(DrainingRefusal()));
 }
 
+void
+coordinator_daemon::OnLastTurns()
+{
+  mFront->StopAccepting();
+  mFront->CloseIdle(duration{}, ErrorAnswer(DrainingRefusal()));
+}
+
 void
 coordinator_daemon::OnRequest(http_exchange& aExchange)
 {
--- a/shell/daemon.cc
+++ b/shell/daemon.cc
@@ -16,9 +16,11 @@
 
 using std::chrono::milliseconds;
 
-// Time between the end of the drain and the exit, in which the last answers are
-// sent.
-constexpr guint kExitFlushMs = 300;
+// Time between the end of the drain and the last part of the exit, in which the
+// last answers are sent.
+constexpr guint kExitFlushMs = 250;
+// The last part of the exit: some round trips of clients.
+constexpr guint kExitCloseMs = 50;
 // How long the exit waits at most for output that is still pending. A process
 // that takes longer than its time to stop is killed.
 constexpr duration kMaxExitFlush = milliseconds(500);
@@ -196,7 +198,7 @@
   RemoveSource(&mQuitSource);
   mQuitBy = Now() + kMaxExitFlush;
   mQuitSource = g_timeout_add_full(
-    aPriority, kExitFlushMs, &daemon_loop::OnQuitTimer, this, nullptr);
+    aPriority, kExitFlushMs, &daemon_loop::OnFlushTimer, this, nullptr);
 }
 
 void
@@ -206,6 +208,15 @@
     G_PRIORITY_HIGH, aDelayMs, &daemon_loop::OnQuitTimer, this, nullptr);
 }
 
+gboolean
+daemon_loop::OnFlushTimer(gpointer aData)
+{
+  auto* self = static_cast<daemon_loop*>(aData);
+  self->OnLastTurns();
+  self->ArmQuitTimer(kExitCloseMs);
+  return G_SOURCE_REMOVE;
+}
+
 gboolean
 daemon_loop::OnQuitTimer(gpointer aData)
 {
--- a/shell/daemon.h
+++ b/shell/daemon.h
@@ -82,6 +82,8 @@
   virtual bool IsDrained() = 0;
   // The drain was cut short.
   virtual void OnAbort() = 0;
+  // Only some turns of the loop are left before the process exits.
+  virtual void OnLastTurns() {}
   // Whether answers or messages are not written yet. The process then exits a
   // little later.
   virtual bool OutputPending() const { return false; }
@@ -110,6 +112,7 @@
   // Ends the main loop once the last answers are sent.
   void QuitSoon(gint aPriority);
   void ArmQuitTimer(guint aDelayMs);
+  static gboolean OnFlushTimer(gpointer aData);
   static gboolean OnQuitTimer(gpointer aData);
 
   GMainLoop* mLoop = nullptr;
--- a/shell/http_server.cc
+++ b/shell/http_server.cc
@@ -292,19 +292,25 @@
 }
 
 gboolean
-http_server::OnAcceptReady(GSocket* aListener,
+http_server::OnAcceptReady(GSocket* /*aListener*/,
                            GIOCondition /*aCondition*/,
                            gpointer aData)
 {
-  auto* self = static_cast<http_server*>(aData);
-  for (int i = 0; i < kMaxAccepts; i++) {
-    gobject_ptr<GSocket> accepted(g_socket_accept(aListener, nullptr, nullptr));
+  static_cast<http_server*>(aData)->AcceptPending(kMaxAccepts);
+  return G_SOURCE_CONTINUE;
+}
+
+void
+http_server::AcceptPending(int aMax)
+{
+  for (int i = 0; i < aMax; i++) {
+    gobject_ptr<GSocket> accepted(
+      g_socket_accept(mListener.get(), nullptr, nullptr));
     if (accepted == nullptr) {
       break; // no pending connection, or it was closed again
     }
-    self->Accept(std::move(accepted));
+    Accept(std::move(accepted));
   }
-  return G_SOURCE_CONTINUE;
 }
 
 void
@@ -426,6 +432,19 @@
   g_socket_shutdown(aSocket, FALSE, TRUE, nullptr);
 }
 
+void
+http_server::StopAccepting()
+{
+  if (mAcceptSource == nullptr) {
+    return;
+  }
+  AcceptPending(kListenBacklog);
+  g_source_destroy(mAcceptSource);
+  g_source_unref(mAcceptSource);
+  mAcceptSource = nullptr;
+  g_socket_close(mListener.get(), nullptr);
+}
+
 gboolean
 http_server::OnAbandonedTimer(gpointer aData)
 {
--- a/shell/http_server.h
+++ b/shell/http_server.h
@@ -142,6 +142,10 @@
   // are dropped: such a client gets a refusal, and its request is not handled.
   void CloseIdle(duration aMinIdle, const http_answer& aRefusal);
 
+  // Accepts the connections that are pending, then closes the listener. Clients
+  // that connect later are refused by the kernel, before they send a request.
+  void StopAccepting();
+
   // Requests that have not been answered yet.
   size_t OpenExchanges() const { return mExchanges.size(); }
   // Answers that libsoup has neither finished writing nor given up.
@@ -171,6 +175,8 @@
   static gboolean OnAcceptReady(GSocket* aListener,
                                 GIOCondition aCondition,
                                 gpointer aData);
+  // Accepts at most aMax pending connections.
+  void AcceptPending(int aMax);
   void Accept(gobject_ptr<GSocket> aSocket);
   // Adds the socket to its group until it is finalized.
   static void AddSocket(const std::shared_ptr<connection_group>& aGroup,
--- a/shell/testing/http_server_test.cc
+++ b/shell/testing/http_server_test.cc
@@ -388,6 +388,27 @@
   CHECK(server.mServer->OpenConnections() == 0);
 }
 
+TEST_CASE("a server that stops accepting serves the connections it has")
+{
+  // Guards against clients that wait in the queue of a process that exits.
+  loopback_server server;
+  server = ServeOnLoopback([&](http_exchange& aExchange) {
+    server.mServer->Answer(aExchange.Id(), {});
+  });
+  int pending = SendRequest(server.mPort); // not accepted yet
+  server.mServer->StopAccepting();
+  ExpectAnswers(pending, 1);
+  close(pending);
+  int late = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(server.mPort);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  CHECK(connect(late, reinterpret_cast<sockaddr*>(&address), sizeof address) !=
+        0);
+  close(late);
+}
+
 TEST_CASE("a client that disconnects before its answer is detected in time")
 {
   // A caller disconnects while its job runs and resubmits it to another entry
