A drain that was cut short accepts no job

Callers saw: a job that a backend server had been told to start got no answer; its connection closed with the exit of its entry. Cause: whether a job is accepted was decided by the time since the drain began alone. A drain that was cut short earlier, by a second signal, went on accepting jobs for the 0.3 s until the exit, and requests that waited for the first configuration were forgotten. Change: a drain that was cut short refuses jobs, answers the requests that wait for a configuration, and holds none.

--- a/shell/coordinator_daemon.cc
+++ b/shell/coordinator_daemon.cc
@@ -518,6 +518,9 @@
   mLog.Emit(event_code::DrainDeadline,
             { { "open_jobs", std::to_string(mCoordinator.OpenJobs()) } });
   mCoordinator.EndAll("this process ends", Now());
+  for (caller_id held : mHeldRequests.TakeAll()) {
+    RefuseUnconfigured(held);
+  }
   mTransport->Flush();
 }
 
--- a/shell/coordinator_daemon.h
+++ b/shell/coordinator_daemon.h
@@ -99,7 +99,7 @@
   void Open();
   void OnRequest(http_exchange& aExchange);
   // Holds a request that arrives before the first configuration; refuses it
-  // when there is no room or the mechanism is switched off.
+  // when there is no room, the mechanism is switched off or no job is accepted.
   void HoldRequest(http_exchange& aExchange);
   void RefuseUnconfigured(uint64_t aExchange);
   void ServeHeldRequests();
@@ -131,7 +131,7 @@
   {
     return IsDraining() ? Now() - mDrainingSince : duration{};
   }
-  // False in the later part of a drain.
+  // False in the later part of a drain, and once it was cut short.
   bool AcceptsJobs() const;
   // Whether all tasks of aJob, by their declared run times, end before the
   // drain does. Always true unless draining.
--- a/shell/coordinator_requests.cc
+++ b/shell/coordinator_requests.cc
@@ -62,7 +62,8 @@
 void
 coordinator_daemon::HoldRequest(http_exchange& aExchange)
 {
-  bool holds = mInstance.mMechanisms.Has(mechanism::HoldAtStart);
+  bool holds =
+    AcceptsJobs() && mInstance.mMechanisms.Has(mechanism::HoldAtStart);
   if (!holds ||
       !mHeldRequests.Add(aExchange.Id(), aExchange.Body().size(), Now())) {
     RefuseUnconfigured(aExchange.Id());
@@ -173,7 +174,7 @@
 bool
 coordinator_daemon::AcceptsJobs() const
 {
-  return DrainingFor() <= kAcceptWhileDraining;
+  return !IsAborted() && DrainingFor() <= kAcceptWhileDraining;
 }
 
 bool
--- a/shell/daemon.h
+++ b/shell/daemon.h
@@ -94,6 +94,9 @@
   void TickSoon();
   // Does nothing when already draining.
   void BeginDrain();
+  // Whether the drain was cut short. The process exits in some hundred ms and
+  // cannot finish what it takes on now.
+  bool IsAborted() const { return mAborted; }
 
 private:
   static gboolean OnTimer(gpointer aData);
