A refusal names the request's path

Seen: of the tries in a trial none without an answer could be told from a refused one by its job's identity, since job_refused lines of the daemon did not carry it. Change: the line has the path, of a long one its end.

--- a/shell/connection_log.cc
+++ b/shell/connection_log.cc
@@ -8,16 +8,16 @@
 // Paths come from clients. A job's identity is the last part of its path.
 constexpr size_t kMaxLoggedPath = 160;
 
+} // namespace
+
 std::string
-EndOf(const std::string& aPath)
+LoggedPath(const std::string& aPath)
 {
   return aPath.size() <= kMaxLoggedPath
            ? aPath
            : aPath.substr(aPath.size() - kMaxLoggedPath);
 }
 
-} // namespace
-
 connection_log::connection_log(event_sink& aEvents, field_adder aAddDrainTime)
   : mEvents(aEvents)
   , mAddDrainTime(std::move(aAddDrainTime))
@@ -30,7 +30,7 @@
   std::vector<event_field> fields = {
     { "request", std::to_string(aAnswer.mExchange) },
     { "method", aAnswer.mMethod },
-    { "path", EndOf(aAnswer.mPath) },
+    { "path", LoggedPath(aAnswer.mPath) },
     { "cause", std::string(Name(aAnswer.mCause)) },
     { "received_ms_ago", std::to_string(ToMs(aAnswer.mSinceReceived)) }
   };
--- a/shell/connection_log.h
+++ b/shell/connection_log.h
@@ -5,6 +5,7 @@
 #define SHELL_CONNECTION_LOG_H_
 
 #include <functional>
+#include <string>
 #include <vector>
 
 #include "cactusmast/events.h"
@@ -17,6 +18,10 @@
 // Requests without an answer that a process lists when it exits.
 constexpr size_t kMaxReportedAtExit = 100;
 
+// The path of a request as log lines carry it: of a long one only its end.
+std::string
+LoggedPath(const std::string& aPath);
+
 // Emits an event for each report.
 class connection_log : public connection_observer
 {
--- a/shell/coordinator_requests.cc
+++ b/shell/coordinator_requests.cc
@@ -47,9 +47,12 @@
 void
 coordinator_daemon::Refuse(uint64_t aExchange, const failure& aError)
 {
-  mLog.Emit(event_code::JobRefused,
-            { { "reason", aError.what() },
-              { "code", std::string(Name(aError.Code())) } });
+  const http_exchange* exchange = mFront->Find(aExchange);
+  mLog.Emit(
+    event_code::JobRefused,
+    { { "reason", aError.what() },
+      { "code", std::string(Name(aError.Code())) },
+      { "path", exchange == nullptr ? "" : LoggedPath(exchange->Path()) } });
   http_answer answer = ErrorAnswer(aError);
   answer.mCloseConnection = IsDraining();
   mFront->Answer(aExchange, answer);
