A drain of an entry waits for operators' answers

What callers saw: an operator whose change or read of the audit trail was waiting for the table when the entry was drained got a closed connection; the change may have been stored.

Cause: a drain counted as complete once the callers' job requests were answered. Changes and reads of the audit trail are not among those.

Change: the drain waits for every open exchange of the HTTP server.

--- a/shell/entry_daemon.cc
+++ b/shell/entry_daemon.cc
@@ -160,7 +160,7 @@
 bool
 entry_daemon::IsDrained()
 {
-  return mNode->IsDrained() && mOpenRequests.empty() &&
+  return mNode->IsDrained() && mHttp->OpenExchanges() == 0 &&
          !mTransport->OutputPending();
 }
 
--- /dev/null
+++ b/shell/testing/entry_daemon_test.cc
@@ -0,0 +1,185 @@
+// Operators' requests to an entry that drains.
+
+#include <doctest/doctest.h>
+
+#include <functional>
+#include <string>
+#include <unistd.h>
+#include <vector>
+
+#include "shell/entry_daemon.h"
+#include "shell/http_client.h"
+#include "shell/testing/loopback.h"
+
+namespace cactusmast::testing {
+namespace {
+
+constexpr char kToken[] = "t0";
+constexpr guint kRequestAtMs = 100;
+constexpr guint kLongDrainMs = 4000;
+
+uint16_t
+FreePort()
+{
+  loopback_server found = ServeOnLoopback([](http_exchange&) {});
+  return found.mPort;
+}
+
+// A table without rows that replies to reads of some rows only when released.
+class slow_table
+{
+public:
+  explicit slow_table(std::string aSlowPrefix)
+    : mSlowPrefix(std::move(aSlowPrefix))
+    , mHttp(ServeOnLoopback([this](http_exchange& aExchange) {
+      if (aExchange.Body().find(mSlowPrefix) != std::string::npos) {
+        mHeld.push_back(aExchange.Id());
+      } else {
+        Reply(aExchange.Id());
+      }
+    }))
+  {
+  }
+
+  std::string Url() const { return "http://" + mHttp.Address(); }
+  size_t Held() const { return mHeld.size(); }
+  void Release()
+  {
+    for (uint64_t held : mHeld) {
+      Reply(held);
+    }
+    mHeld.clear();
+  }
+
+private:
+  void Reply(uint64_t aExchange)
+  {
+    mHttp.mServer->Answer(aExchange, { 200, "{\"rows\":[]}" });
+  }
+
+  std::string mSlowPrefix;
+  std::vector<uint64_t> mHeld;
+  loopback_server mHttp;
+};
+
+// An entry, its table, and an operator. Create leaks each one, because sources
+// of the daemon stay in the main context, which later tests run.
+class operated_entry
+{
+public:
+  static operated_entry& Create(const std::string& aSlowPrefix)
+  {
+    static std::vector<operated_entry*> all;
+    all.push_back(new operated_entry(aSlowPrefix));
+    return *all.back();
+  }
+
+  slow_table& Table() { return mTable; }
+  int Run(uint32_t aDrainMs) { return mDaemon->Run(aDrainMs); }
+  // The answer to the change or read; its status is 0 until it has arrived.
+  const http_response& Answer() const { return mAnswer; }
+
+  void SendChange()
+  {
+    Send("DELETE", "/v1/profiles/quote", [this](const http_response& aAnswer) {
+      mAnswer = aAnswer;
+    });
+  }
+  void SendAudit()
+  {
+    Send("GET", "/v1/audit", [this](const http_response& aAnswer) {
+      mAnswer = aAnswer;
+    });
+  }
+  void SendDrain()
+  {
+    Send("POST", "/v1/drain", [](const http_response&) {});
+  }
+
+  // Calls aAction once, after aDelayMs.
+  void After(guint aDelayMs, std::function<void(operated_entry&)> aAction)
+  {
+    struct delayed
+    {
+      operated_entry& mEntry;
+      std::function<void(operated_entry&)> mAction;
+    };
+    g_timeout_add(
+      aDelayMs,
+      [](gpointer aData) -> gboolean {
+        std::unique_ptr<delayed> call(static_cast<delayed*>(aData));
+        call->mAction(call->mEntry);
+        return G_SOURCE_REMOVE;
+      },
+      new delayed{ *this, std::move(aAction) });
+  }
+
+private:
+  explicit operated_entry(const std::string& aSlowPrefix)
+    : mTable(aSlowPrefix)
+    , mClient(4, 0)
+  {
+    entry_settings settings;
+    process_settings& process = settings.mProcess;
+    process.mName = "entry-1";
+    process.mDataCenter = "a";
+    process.mTableUrl = mTable.Url();
+    process.mTableTimeoutMs = 10000;
+    process.mSharedKey = "k";
+    process.mHttp = "127.0.0.1:" + std::to_string(FreePort());
+    process.mListen = "127.0.0.1:0";
+    settings.mOperatorTokens["operator"] = kToken;
+    mUrl = "http://" + process.mHttp;
+    mDaemon = std::move(entry_daemon::Create(settings).Value());
+  }
+
+  void Send(const char* aMethod,
+            const char* aPath,
+            http_client::callback aOnAnswer)
+  {
+    http_request request;
+    request.mMethod = aMethod;
+    request.mUrl = mUrl + aPath;
+    request.mHeaders = { { "Authorization", std::string("Bearer ") + kToken },
+                         { "X-Reason", "test" },
+                         { "X-Expected-Revision", "1" } };
+    mClient.Send(request, std::move(aOnAnswer));
+  }
+
+  slow_table mTable;
+  http_client mClient;
+  std::string mUrl;
+  std::unique_ptr<entry_daemon> mDaemon;
+  http_response mAnswer;
+};
+
+constexpr char kDocument[] = "config/document";
+constexpr int kRefused = 503;
+
+} // namespace
+
+TEST_CASE("a drain waits for the answer to an operator's change")
+{
+  // Guards against an entry that exits while a change waits for the table.
+  operated_entry& entry = operated_entry::Create(kDocument);
+  entry.After(kRequestAtMs, [](auto& aEntry) { aEntry.SendChange(); });
+  entry.After(2 * kRequestAtMs, [](auto& aEntry) { aEntry.SendDrain(); });
+  entry.After(1000, [](auto& aEntry) { aEntry.Table().Release(); });
+  CHECK(entry.Run(kLongDrainMs) == 0);
+  CHECK(entry.Answer().mFault == http_fault::None);
+  CHECK(entry.Answer().mStatus == kRefused); // the table has no configuration
+}
+
+TEST_CASE("a drain waits for the answer to a read of the audit trail")
+{
+  // Guards against an entry that exits while such a read waits for the table.
+  operated_entry& entry = operated_entry::Create("audit/");
+  entry.After(kRequestAtMs, [](auto& aEntry) { aEntry.SendAudit(); });
+  entry.After(2 * kRequestAtMs, [](auto& aEntry) { aEntry.SendDrain(); });
+  entry.After(1000, [](auto& aEntry) { aEntry.Table().Release(); });
+  CHECK(entry.Run(kLongDrainMs) == 0);
+  CHECK(entry.Answer().mFault == http_fault::None);
+  CHECK(entry.Answer().mStatus == 200);
+}
+
+} // namespace cactusmast::testing
