An entry that drains refuses operators' changes and audit reads

What callers saw: a change or a read of the audit trail that reached an entry in the moments between the end of its drain and its exit got no answer, and the change could be stored.

Cause: unlike jobs, both were accepted as long as the process ran. Both wait for the table, which may take longer than the 0.3 s to the exit.

Change: both are refused as draining (503, not run), as jobs are; another entry serves them. The table of the test now holds only reads, as its comment says.

--- a/shell/entry_daemon.cc
+++ b/shell/entry_daemon.cc
@@ -401,9 +401,24 @@
   }
 }
 
+// Another entry can wait for the table's reply; this one ends soon.
+void
+entry_daemon::RequireNotDraining() const
+{
+  if (mNode->IsDraining()) {
+    throw failure(error_code::Draining,
+                  "accept",
+                  mSettings.mProcess.mName,
+                  "this entry is draining; retry at another entry",
+                  run_state::NotRun,
+                  milliseconds(500));
+  }
+}
+
 void
 entry_daemon::SubmitChange(http_exchange& aExchange, config_change aChange)
 {
+  RequireNotDraining();
   aChange.mToken = aExchange.Id();
   aChange.mOperator = OperatorOf(aExchange);
   aChange.mReason = aExchange.Header("X-Reason");
@@ -487,6 +502,7 @@
 entry_daemon::OnAudit(http_exchange& aExchange, const std::string& aName)
 {
   OperatorOf(aExchange);
+  RequireNotDraining();
   audit_read read;
   read.mExchange = aExchange.Id();
   read.mName = aName;
--- a/shell/entry_daemon.h
+++ b/shell/entry_daemon.h
@@ -65,6 +65,8 @@
   void OnTeam(http_exchange& aExchange, const std::string& aName);
   void OnAudit(http_exchange& aExchange, const std::string& aName);
   void SubmitChange(http_exchange& aExchange, config_change aChange);
+  // Throws failure while this entry drains.
+  void RequireNotDraining() const;
   // The team or operator whose token the request carries; throws failure when
   // there is none. Without team tokens in the settings, the team is that of the
   // X-Team header, or "default".
--- a/shell/testing/entry_daemon_test.cc
+++ b/shell/testing/entry_daemon_test.cc
@@ -32,7 +32,9 @@
   explicit slow_table(std::string aSlowPrefix)
     : mSlowPrefix(std::move(aSlowPrefix))
     , mHttp(ServeOnLoopback([this](http_exchange& aExchange) {
-      if (aExchange.Body().find(mSlowPrefix) != std::string::npos) {
+      bool slow = aExchange.Path() == "/v1/read" &&
+                  aExchange.Body().find(mSlowPrefix) != std::string::npos;
+      if (slow) {
         mHeld.push_back(aExchange.Id());
       } else {
         Reply(aExchange.Id());
@@ -182,4 +184,30 @@
   CHECK(entry.Answer().mStatus == 200);
 }
 
+TEST_CASE("an entry that drains refuses an operator's change")
+{
+  // Guards against a change that is accepted in the moments before the exit and
+  // never answered.
+  operated_entry& entry = operated_entry::Create(kDocument);
+  entry.After(kRequestAtMs, [](auto& aEntry) { aEntry.SendDrain(); });
+  entry.After(2 * kRequestAtMs, [](auto& aEntry) { aEntry.SendChange(); });
+  CHECK(entry.Run(kLongDrainMs) == 0);
+  CHECK(entry.Answer().mFault == http_fault::None);
+  CHECK(entry.Answer().mStatus == kRefused);
+  CHECK(entry.Answer().mBody.find("draining") != std::string::npos);
+  CHECK(entry.Table().Held() == 0);
+}
+
+TEST_CASE("an entry that drains refuses a read of the audit trail")
+{
+  // Guards against such a read that waits for the table beyond the exit.
+  operated_entry& entry = operated_entry::Create("audit/");
+  entry.After(kRequestAtMs, [](auto& aEntry) { aEntry.SendDrain(); });
+  entry.After(2 * kRequestAtMs, [](auto& aEntry) { aEntry.SendAudit(); });
+  CHECK(entry.Run(kLongDrainMs) == 0);
+  CHECK(entry.Answer().mFault == http_fault::None);
+  CHECK(entry.Answer().mStatus == kRefused);
+  CHECK(entry.Table().Held() == 0);
+}
+
 } // namespace cactusmast::testing
