A drain that is cut short answers operators too

What callers saw: an operator whose change or audit read was waiting for the table when a drain reached its deadline, or a second signal came, got a closed connection and no word of whether the change may have been stored.

Cause: the end of a drain answered callers' job requests only.

Change: every queued change is answered as when the table does not reply in time: 503, not run, or unknown once its write was sent. Audit reads get 503.

--- a/cactusmast/config_agent.cc
+++ b/cactusmast/config_agent.cc
@@ -134,13 +134,26 @@
   }
   while (!mPendingChanges.empty() &&
          aNow >= mPendingChanges.front().mDeadline) {
-    bool written = mStep == step::Commit || mStep == step::ReadBack;
-    RefuseChange(
-      error_code::Unavailable,
-      written ? run_state::Unknown : run_state::NotRun,
-      "the table is unavailable; see the audit trail for operation " +
-        mPendingChanges.front().mChange.mOperation,
-      aWallSeconds);
+    GiveUpChange("the table is unavailable", aWallSeconds);
+  }
+}
+
+void
+config_agent::GiveUpChange(const std::string& aText, int64_t aWallSeconds)
+{
+  bool written = mStep == step::Commit || mStep == step::ReadBack;
+  RefuseChange(error_code::Unavailable,
+               written ? run_state::Unknown : run_state::NotRun,
+               aText + "; see the audit trail for operation " +
+                 mPendingChanges.front().mChange.mOperation,
+               aWallSeconds);
+}
+
+void
+config_agent::GiveUpChanges(const std::string& aText, int64_t aWallSeconds)
+{
+  while (!mPendingChanges.empty()) {
+    GiveUpChange(aText, aWallSeconds);
   }
 }
 
--- a/cactusmast/config_agent.h
+++ b/cactusmast/config_agent.h
@@ -123,6 +123,9 @@
   // Queues a change; OnChangeDone reports its outcome. Throws
   // failure(Overloaded) if too many changes are queued.
   void Change(const config_change& aChange, instant aNow);
+  // Reports the outcome of every queued change, as far as it is known, because
+  // the process ends. aText: the reason.
+  void GiveUpChanges(const std::string& aText, int64_t aWallSeconds);
 
   const deployment_config& Config() const { return mConfig; }
   // The document in force as JSON; empty if none is known.
@@ -176,6 +179,8 @@
                     run_state aRun,
                     const std::string& aText,
                     int64_t aWallSeconds);
+  // Refuses the first queued change; it may have been written.
+  void GiveUpChange(const std::string& aText, int64_t aWallSeconds);
   // Puts a document in force if it is valid and newer.
   void Install(const std::string& aDocument);
 
--- a/cactusmast/entry_node.cc
+++ b/cactusmast/entry_node.cc
@@ -382,6 +382,7 @@
   for (uint64_t token : openRequests) {
     FailRequest(token, "this entry stopped before the job ended");
   }
+  mConfig.GiveUpChanges("this entry stops", mWallSeconds);
 }
 
 } // namespace cactusmast
--- a/cactusmast/entry_node.h
+++ b/cactusmast/entry_node.h
@@ -165,7 +165,7 @@
   bool IsDraining() const { return mDraining; }
   bool IsDrained() const;
   // Ends a drain that took too long: every open request is answered with what
-  // is known of its job.
+  // is known of its job, every queued change with what is known of it.
   void AbortDrain(instant aNow);
 
   const config_agent& Config() const { return mConfig; }
--- a/shell/entry_daemon.cc
+++ b/shell/entry_daemon.cc
@@ -168,6 +168,11 @@
 entry_daemon::OnAbort()
 {
   mNode->AbortDrain(Now());
+  std::map<uint64_t, audit_read> reads = std::move(mAuditReads);
+  mAuditReads.clear();
+  for (const auto& [request, read] : reads) {
+    FailAudit(read);
+  }
   mTransport->Flush();
 }
 
@@ -512,6 +517,18 @@
   mAuditReads[mTable.Read("audit/", rows, true)] = read;
 }
 
+void
+entry_daemon::FailAudit(const audit_read& aRead)
+{
+  Fail(aRead.mExchange,
+       failure(error_code::Unavailable,
+               "read audit",
+               "table",
+               "the table does not reply",
+               run_state::NotRun,
+               std::chrono::seconds(1)));
+}
+
 void
 entry_daemon::OnTableReply(const table_reply& aReply)
 {
@@ -523,13 +540,7 @@
   audit_read read = std::move(found->second);
   mAuditReads.erase(found);
   if (aReply.mStatus != table_status::Ok) {
-    Fail(read.mExchange,
-         failure(error_code::Unavailable,
-                 "read audit",
-                 "table",
-                 "the table does not reply",
-                 run_state::NotRun,
-                 std::chrono::seconds(1)));
+    FailAudit(read);
     return;
   }
   read.mRows.insert(read.mRows.end(), aReply.mRows.begin(), aReply.mRows.end());
--- a/shell/entry_daemon.h
+++ b/shell/entry_daemon.h
@@ -52,6 +52,17 @@
     bool mRaw = false; // from /v1/run/: the task's output alone
   };
 
+  // A request for the audit trail takes two reads of the table: of accepted
+  // changes, then of refused ones.
+  struct audit_read
+  {
+    uint64_t mExchange = 0;
+    std::string mName;   // of the profile or team; empty: all
+    uint32_t mLimit = 0; // rows
+    bool mReadingRefused = false;
+    std::vector<table_row> mRows; // read so far
+  };
+
   explicit entry_daemon(const entry_settings& aSettings);
   void Open();
   void OnTableReply(const table_reply& aReply);
@@ -79,6 +90,7 @@
   // Throws failure when there is no such profile.
   const profile& ProfileOf(const std::string& aName) const;
   void Fail(uint64_t aExchange, const failure& aError);
+  void FailAudit(const audit_read& aRead);
   http_answer Metrics() const;
 
   entry_settings mSettings;
@@ -89,17 +101,7 @@
   std::unique_ptr<http_server> mHttp;
   std::unique_ptr<entry_node> mNode;
   std::map<uint64_t, open_request> mOpenRequests; // by exchange
-  // A request for the audit trail takes two reads of the table: of accepted
-  // changes, then of refused ones.
-  struct audit_read
-  {
-    uint64_t mExchange = 0;
-    std::string mName;   // of the profile or team; empty: all
-    uint32_t mLimit = 0; // rows
-    bool mReadingRefused = false;
-    std::vector<table_row> mRows; // read so far
-  };
-  std::map<uint64_t, audit_read> mAuditReads; // by table request
+  std::map<uint64_t, audit_read> mAuditReads;     // by table request
   uint64_t mNextKey = 1; // of generated keys and operations
 };
 
--- a/shell/testing/entry_daemon_test.cc
+++ b/shell/testing/entry_daemon_test.cc
@@ -210,4 +210,31 @@
   CHECK(entry.Table().Held() == 0);
 }
 
+TEST_CASE("a drain that is cut short answers an operator's change")
+{
+  // Guards against an entry that ends at the deadline of its drain without any
+  // answer to a change in flight.
+  operated_entry& entry = operated_entry::Create(kDocument);
+  entry.After(kRequestAtMs, [](auto& aEntry) { aEntry.SendChange(); });
+  entry.After(2 * kRequestAtMs, [](auto& aEntry) { aEntry.SendDrain(); });
+  constexpr uint32_t kShortDrainMs = 300;
+  CHECK(entry.Run(kShortDrainMs) == 1);
+  CHECK(entry.Answer().mFault == http_fault::None);
+  CHECK(entry.Answer().mStatus == kRefused);
+  CHECK(entry.Answer().mBody.find("\"not_run\"") != std::string::npos);
+}
+
+TEST_CASE("a drain that is cut short answers a read of the audit trail")
+{
+  // Guards against an entry that ends at the deadline of its drain without any
+  // answer to such a read.
+  operated_entry& entry = operated_entry::Create("audit/");
+  entry.After(kRequestAtMs, [](auto& aEntry) { aEntry.SendAudit(); });
+  entry.After(2 * kRequestAtMs, [](auto& aEntry) { aEntry.SendDrain(); });
+  constexpr uint32_t kShortDrainMs = 300;
+  CHECK(entry.Run(kShortDrainMs) == 1);
+  CHECK(entry.Answer().mFault == http_fault::None);
+  CHECK(entry.Answer().mStatus == kRefused);
+}
+
 } // namespace cactusmast::testing
