What an ended peer had sent is read though a write to it fails

What callers saw: nothing known. A task whose end an executor reported in its last moments would be treated as lost: its job waits until the attempt has certainly ended and runs it again, or gets 504.

Cause: a failed write closed the connection at once. Messages that had arrived and were not read yet were dropped with it. A process reads in one source of the loop and writes at the end of a tick, so both may meet in one turn.

Change: after a failed write the rest is read and handled, then the connection is reported down.

How often this happens in a deployment was not measured.

--- a/shell/peer_transport.cc
+++ b/shell/peer_transport.cc
@@ -356,7 +356,7 @@
   }
 }
 
-void
+bool
 peer_transport::OnReadable(link& aLink)
 {
   static char chunk[kReadChunkSize];
@@ -367,19 +367,20 @@
     gerror_ptr errorOwner(error);
     if (count < 0 &&
         g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
-      return;
+      return false;
     }
     if (count <= 0) {
       CloseLink(aLink, true);
-      return;
+      return false;
     }
     mCounters.mBytesIn += uint64_t(count);
     aLink.mReader.Append(std::string_view(chunk, size_t(count)));
     ReadFrames(aLink);
     if (aLink.mState == link_state::Closed || size_t(count) < sizeof chunk) {
-      return;
+      return false;
     }
   }
+  return true;
 }
 
 void
@@ -469,7 +470,7 @@
       break;
     }
     if (count < 0) {
-      CloseLink(aLink, true);
+      OnWriteFailed(aLink);
       return;
     }
     aLink.mOutputSent += size_t(count);
@@ -481,6 +482,17 @@
   }
 }
 
+// A peer that ends has sent its last messages before it closes the connection.
+void
+peer_transport::OnWriteFailed(link& aLink)
+{
+  bool mayHaveMore = aLink.mState == link_state::Ready;
+  while (mayHaveMore) {
+    mayHaveMore = OnReadable(aLink);
+  }
+  CloseLink(aLink, true);
+}
+
 void
 peer_transport::Send(peer_id aPeer, message aMessage)
 {
--- a/shell/peer_transport.h
+++ b/shell/peer_transport.h
@@ -137,7 +137,10 @@
   void SendHello(link& aLink);
   // Closes the link. With aNotify, calls OnPeerDown if it was Ready.
   void CloseLink(link& aLink, bool aNotify);
-  void OnReadable(link& aLink);
+  // Returns whether more may be left to read.
+  bool OnReadable(link& aLink);
+  // Handles what the peer had sent, then closes the link.
+  void OnWriteFailed(link& aLink);
   void OnWritable(link& aLink);
   void ReadFrames(link& aLink);
   void OnFrame(link& aLink, const message& aMessage);
