A peer is reported down by Flush, never within Send

What callers saw: nothing known. Sending to a peer that has stopped reading and has spent its send budget called OnPeerDown at once. Loops that send to every peer (reports of an executor, heartbeats of a coordinator, state of a guard, configuration of an entry) erase the peer's row there while they iterate over it: undefined behaviour, at worst the end of the process with all its requests.

Change: Send marks the connection, further messages to it are dropped, and the next Flush closes it and reports it down.

No crash was provoked.

--- a/shell/peer_transport.cc
+++ b/shell/peer_transport.cc
@@ -497,7 +497,10 @@
 peer_transport::Send(peer_id aPeer, message aMessage)
 {
   auto found = mLinks.find(aPeer);
-  if (found == mLinks.end() || found->second->mState != link_state::Ready) {
+  bool sendable = found != mLinks.end() &&
+                  found->second->mState == link_state::Ready &&
+                  !found->second->mOverBudget;
+  if (!sendable) {
     return;
   }
   link& target = *found->second;
@@ -508,11 +511,13 @@
   mCounters.mMessagesOut++;
   if (target.mOutput.size() - target.mOutputSent > mOptions.mMaxUnsentBytes) {
     // The peer has stopped reading. Whether it got the messages is resolved by
-    // asking it after it has connected again.
+    // asking it after it has connected again. The link is closed by Flush,
+    // because the caller may be iterating over its peers.
+    target.mOverBudget = true;
+    mUnflushed.push_back(aPeer);
     mCounters.mSendBudgetExceeded++;
     mEvents.Emit(event_code::BudgetSpent,
                  { { "budget", "send" }, { "peer", target.mPeerName } });
-    CloseLink(target, true);
   }
 }
 
@@ -523,6 +528,9 @@
   mUnflushed.clear();
   for (peer_id peer : unflushed) {
     auto found = mLinks.find(peer);
+    if (found != mLinks.end() && found->second->mOverBudget) {
+      CloseLink(*found->second, true);
+    }
     bool writable = found != mLinks.end() &&
                     found->second->mState == link_state::Ready &&
                     !found->second->mWatchOutput;
--- a/shell/peer_transport.h
+++ b/shell/peer_transport.h
@@ -84,8 +84,10 @@
   void Close(peer_id aPeer) override;
   void Connect(const std::string& aAddress) override;
 
-  // Writes the messages sent since the last call. Batching the writes of one
-  // turn of the loop costs one system call per peer instead of one per message.
+  // Writes the messages sent since the last call, and closes the links whose
+  // send budget is spent; only then is OnPeerDown called for these. Batching
+  // the writes of one turn of the loop costs one system call per peer instead
+  // of one per message.
   void Flush();
   // Closes links whose handshake has timed out and frees closed links.
   void Sweep();
@@ -118,14 +120,15 @@
     bool mWatched = false;     // whether it is in the epoll set
     bool mWatchOutput = false; // whether the epoll set waits for output space
     frame_reader mReader;
-    std::string mOutput;     // output, of which mOutputSent bytes are written
-    size_t mOutputSent = 0;  // bytes
-    std::string mAddress;    // as given to Connect; empty for an accepted link
-    std::string mNonce;      // ours
-    std::string mPeerNonce;  // empty until the peer's first hello
-    peer_identity mIdentity; // valid once Ready
-    gint64 mCreatedAt = 0;   // monotonic time in us
-    std::string mPeerName;   // the peer's name, for logs; empty until Ready
+    std::string mOutput;      // output, of which mOutputSent bytes are written
+    size_t mOutputSent = 0;   // bytes
+    bool mOverBudget = false; // its send budget is spent; Flush closes it
+    std::string mAddress;     // as given to Connect; empty for an accepted link
+    std::string mNonce;       // ours
+    std::string mPeerNonce;   // empty until the peer's first hello
+    peer_identity mIdentity;  // valid once Ready
+    gint64 mCreatedAt = 0;    // monotonic time in us
+    std::string mPeerName;    // the peer's name, for logs; empty until Ready
   };
 
   peer_transport(transport_options aOptions,
--- a/shell/testing/peer_transport_test.cc
+++ b/shell/testing/peer_transport_test.cc
@@ -119,4 +119,21 @@
   CHECK(near.mMessagesAfterDown == 0);
 }
 
+TEST_CASE("a peer is not reported down while a message is sent to it")
+{
+  // Guards against a crash of a process that sends to all its peers, one of
+  // which has stopped reading: its row would be erased during the iteration.
+  constexpr size_t kMaxUnsent = 4096;
+  connected_peers peers(kMaxUnsent);
+  recorded_listener& near = peers.mNear->mListener;
+  peers.mNear->Send(2 * kMaxUnsent);
+  peers.mNear->Send();
+  CHECK_FALSE(near.mDownWithinSend);
+  peers.mNear->mTransport->Flush();
+  CHECK(near.mDown);
+  CHECK(peers.mNear->mTransport->Counters().mSendBudgetExceeded == 1);
+  RunLoopUntil(peers.mFar->mListener.mDown);
+  CHECK(peers.mFar->mListener.mMessages == 0);
+}
+
 } // namespace cactusmast::testing
