--- a/shell/http_client.cc
+++ b/shell/http_client.cc
@@ -28,8 +28,8 @@
 {
   http_response response;
   if (aError != nullptr) {
-    // libsoup resends an idempotent request whose connection broke. If the
-    // resend is refused, the first send may still have been carried out.
+    // libsoup resends a GET whose connection broke. If the resend is refused,
+    // the first send may still have been carried out.
     bool refused =
       !aSendStarted &&
       (g_error_matches(aError, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED) ||
--- a/shell/http_client.h
+++ b/shell/http_client.h
@@ -32,8 +32,8 @@
   // Whether the request may be carried out twice without harm. Only idempotent
   // requests reuse an open connection: libsoup opens a new one for every other
   // POST, because the server may close an idle connection at the moment a
-  // request is sent over it. libsoup resends an idempotent request when that
-  // happens.
+  // request is sent over it. When that happens, a GET is sent again; another
+  // request is reported as broken, idempotent or not.
   bool mIdempotent = false;
   uint32_t mTimeoutMs = 0; // 0: the client's timeout applies
 };
