A caller of a job that is being handed over is routed again

What callers saw: while an entry was drained, a caller that waited for a job there, or cancelled it, could be told that the job is in doubt (503, submit it again), though the job went on at the next entry. A cancellation was not carried out then.

Cause: the waiting requests reach the next owner before the job's submission, which the previous owner sends after them. As long as a guard's records are missing, an unknown job counted as in doubt, also if the handover names it.

Change: a job that the handover names as running is looked up again, as other jobs are right after a claim, for at most the time that submissions are held.

Measured: the first new test failed before the change (in doubt, twice) and passes after it; the second, that other jobs are still in doubt, passed before and after.

--- a/cactusmast/shard_owner_accept.cc
+++ b/cactusmast/shard_owner_accept.cc
@@ -381,8 +381,10 @@
     }
     return;
   }
+  bool claimedRecently = aNow - mClaimedAt < mOptions.mMaxHoldTime;
+  bool handedOver = mInherited.count(aId) > 0 && claimedRecently;
   bool known = mRecovered.count(aId) > 0 || !IsComplete();
-  if (known) {
+  if (known && !handedOver) {
     Refuse(aWaiter,
            failure(error_code::InDoubt,
                    "find job",
@@ -393,7 +395,7 @@
                    std::chrono::seconds(1)));
     return;
   }
-  if (aNow - mClaimedAt < mOptions.mMaxHoldTime) {
+  if (claimedRecently) {
     // The previous owner may be about to submit the job here.
     Refuse(aWaiter,
            failure(error_code::Unavailable,
