A drain of an entry waits until its answers are written

What callers saw: a large answer whose client reads slowly was cut off when its entry was drained.

Cause: the drain counted as complete once every request had its answer; 0.3 s later the process exited, with the rest of the answer in its buffers.

Change: the drain also waits for UnsentAnswers(), up to its deadline.

--- a/shell/entry_daemon.cc
+++ b/shell/entry_daemon.cc
@@ -161,7 +161,7 @@
 entry_daemon::IsDrained()
 {
   return mNode->IsDrained() && mHttp->OpenExchanges() == 0 &&
-         !mTransport->OutputPending();
+         mHttp->UnsentAnswers() == 0 && !mTransport->OutputPending();
 }
 
 void
--- a/shell/testing/entry_daemon_test.cc
+++ b/shell/testing/entry_daemon_test.cc
@@ -1,9 +1,13 @@
 // Operators' requests to an entry that drains.
 
+#include <arpa/inet.h>
+#include <chrono>
 #include <doctest/doctest.h>
-
 #include <functional>
+#include <netinet/in.h>
 #include <string>
+#include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 #include <vector>
 
@@ -25,7 +29,8 @@
   return found.mPort;
 }
 
-// A table without rows that replies to reads of some rows only when released.
+// A table without rows, or with a large one in the audit trail, that replies to
+// reads of some rows only when released.
 class slow_table
 {
 public:
@@ -37,7 +42,8 @@
       if (slow) {
         mHeld.push_back(aExchange.Id());
       } else {
-        Reply(aExchange.Id());
+        bool large = aExchange.Body().find("audit/") != std::string::npos;
+        Reply(aExchange.Id(), large ? mAuditRow : "[]");
       }
     }))
   {
@@ -45,6 +51,12 @@
 
   std::string Url() const { return "http://" + mHttp.Address(); }
   size_t Held() const { return mHeld.size(); }
+  // aBytes: of the audit trail's only row.
+  void SetAuditRow(size_t aBytes)
+  {
+    mAuditRow = R"([{"key":"audit/1","version":1,"value":"{\"reason\":\")" +
+                std::string(aBytes, 'x') + R"(\"}"}])";
+  }
   void Release()
   {
     for (uint64_t held : mHeld) {
@@ -54,12 +66,13 @@
   }
 
 private:
-  void Reply(uint64_t aExchange)
+  void Reply(uint64_t aExchange, const std::string& aRows = "[]")
   {
-    mHttp.mServer->Answer(aExchange, { 200, "{\"rows\":[]}" });
+    mHttp.mServer->Answer(aExchange, { 200, "{\"rows\":" + aRows + "}" });
   }
 
   std::string mSlowPrefix;
+  std::string mAuditRow = "[]";
   std::vector<uint64_t> mHeld;
   loopback_server mHttp;
 };
@@ -80,6 +93,7 @@
   int Run(uint32_t aDrainMs) { return mDaemon->Run(aDrainMs); }
   // The answer to the change or read; its status is 0 until it has arrived.
   const http_response& Answer() const { return mAnswer; }
+  uint16_t Port() const { return mPort; }
 
   void SendChange()
   {
@@ -128,7 +142,8 @@
     process.mTableUrl = mTable.Url();
     process.mTableTimeoutMs = 10000;
     process.mSharedKey = "k";
-    process.mHttp = "127.0.0.1:" + std::to_string(FreePort());
+    mPort = FreePort();
+    process.mHttp = "127.0.0.1:" + std::to_string(mPort);
     process.mListen = "127.0.0.1:0";
     settings.mOperatorTokens["operator"] = kToken;
     mUrl = "http://" + process.mHttp;
@@ -151,10 +166,38 @@
   slow_table mTable;
   http_client mClient;
   std::string mUrl;
+  uint16_t mPort = 0;
   std::unique_ptr<entry_daemon> mDaemon;
   http_response mAnswer;
 };
 
+// Reads the audit trail; the answer is only read after aDelay. Returns the
+// bytes received until none comes for a second.
+size_t
+ReadAuditLate(uint16_t aPort, std::chrono::milliseconds aDelay)
+{
+  int client = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(aPort);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  timeval second{ 1, 0 };
+  setsockopt(client, SOL_SOCKET, SO_RCVTIMEO, &second, sizeof second);
+  connect(client, reinterpret_cast<sockaddr*>(&address), sizeof address);
+  std::string request = "GET /v1/audit HTTP/1.1\r\nHost: a\r\n";
+  request += std::string("Authorization: Bearer ") + kToken + "\r\n\r\n";
+  send(client, request.data(), request.size(), MSG_NOSIGNAL);
+  std::this_thread::sleep_for(aDelay);
+  std::vector<char> chunk(1u << 20);
+  size_t received = 0;
+  ssize_t count = 0;
+  while ((count = recv(client, chunk.data(), chunk.size(), 0)) > 0) {
+    received += size_t(count);
+  }
+  close(client);
+  return received;
+}
+
 constexpr char kDocument[] = "config/document";
 constexpr int kRefused = 503;
 
@@ -184,6 +227,24 @@
   CHECK(entry.Answer().mStatus == 200);
 }
 
+TEST_CASE("a drain waits until a large answer is written")
+{
+  // Guards against an entry that exits while an answer waits for its client to
+  // read.
+  constexpr size_t kRowBytes = 32u << 20;
+  operated_entry& entry = operated_entry::Create("nothing");
+  entry.Table().SetAuditRow(kRowBytes);
+  size_t received = 0;
+  std::thread client([&] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    received = ReadAuditLate(entry.Port(), std::chrono::milliseconds(3500));
+  });
+  entry.After(2000, [](auto& aEntry) { aEntry.SendDrain(); });
+  CHECK(entry.Run(kLongDrainMs) == 0);
+  client.join();
+  CHECK(received > kRowBytes);
+}
+
 TEST_CASE("an entry that drains refuses an operator's change")
 {
   // Guards against a change that is accepted in the moments before the exit and
