--- a/shell/entry_daemon.cc
+++ b/shell/entry_daemon.cc
@@ -164,8 +164,8 @@
 bool
 entry_daemon::IsDrained()
 {
-  return mNode->IsDrained() && mOpenRequests.empty() &&
-         !mTransport->OutputPending();
+  return mNode->IsDrained() && mHttp->OpenExchanges() == 0 &&
+         mHttp->UnsentAnswers() == 0 && !mTransport->OutputPending();
 }
 
 void
@@ -179,6 +179,11 @@
 entry_daemon::OnAbort()
 {
   mNode->AbortDrain(Now());
+  std::map<uint64_t, audit_read> reads = std::move(mAuditReads);
+  mAuditReads.clear();
+  for (const auto& [request, read] : reads) {
+    FailAudit(read);
+  }
   mTransport->Flush();
 }
 
@@ -412,9 +417,24 @@
   }
 }
 
+// Another entry can wait for the table's reply; this one ends soon.
+void
+entry_daemon::RequireNotDraining() const
+{
+  if (mNode->IsDraining()) {
+    throw failure(error_code::Draining,
+                  "accept",
+                  mSettings.mProcess.mName,
+                  "this entry is draining; retry at another entry",
+                  run_state::NotRun,
+                  milliseconds(500));
+  }
+}
+
 void
 entry_daemon::SubmitChange(http_exchange& aExchange, config_change aChange)
 {
+  RequireNotDraining();
   aChange.mToken = aExchange.Id();
   aChange.mOperator = OperatorOf(aExchange);
   aChange.mReason = aExchange.Header("X-Reason");
@@ -498,6 +518,7 @@
 entry_daemon::OnAudit(http_exchange& aExchange, const std::string& aName)
 {
   OperatorOf(aExchange);
+  RequireNotDraining();
   audit_read read;
   read.mExchange = aExchange.Id();
   read.mName = aName;
@@ -507,6 +528,18 @@
   mAuditReads[mTable.Read("audit/", rows, true)] = read;
 }
 
+void
+entry_daemon::FailAudit(const audit_read& aRead)
+{
+  Fail(aRead.mExchange,
+       failure(error_code::Unavailable,
+               "read audit",
+               "table",
+               "the table does not reply",
+               run_state::NotRun,
+               std::chrono::seconds(1)));
+}
+
 void
 entry_daemon::OnTableReply(const table_reply& aReply)
 {
@@ -518,13 +551,7 @@
   audit_read read = std::move(found->second);
   mAuditReads.erase(found);
   if (aReply.mStatus != table_status::Ok) {
-    Fail(read.mExchange,
-         failure(error_code::Unavailable,
-                 "read audit",
-                 "table",
-                 "the table does not reply",
-                 run_state::NotRun,
-                 std::chrono::seconds(1)));
+    FailAudit(read);
     return;
   }
   read.mRows.insert(read.mRows.end(), aReply.mRows.begin(), aReply.mRows.end());
