--- a/scripts/soak/callers.py
+++ b/scripts/soak/callers.py
@@ -11,7 +11,6 @@
 
 RESEND_S = 1.3
 WAIT_MS = 8000
-BULK_BYTES = 900000
 
 
 @dataclasses.dataclass
@@ -46,12 +45,6 @@
         self.connection = None
         self.jobs = 0
 
-    async def run_bulk(self):
-        """Sends large requests that no route takes: the entry has to read them."""
-        while not self.record.over.is_set():
-            await self.send("bulk", 1, "POST /nowhere/", bytes(self.draw.randrange(BULK_BYTES)))
-            await self.pause(self.draw.choice((0.01, 0.05, 0.2)))
-
     async def run(self):
         await self.pause(self.draw.uniform(0, self.pause_s))
         while not self.record.over.is_set():
--- a/scripts/soak/checks.py
+++ b/scripts/soak/checks.py
@@ -56,9 +56,9 @@
     """Answers that can't be true, and starts of refused jobs."""
     statuses = collections.defaultdict(list)
     for one in record.tries:
-        if one.job in ("count", "bulk"):
+        if one.job == "count":
             if one.status not in (0, 200, 404, 503):
-                yield f"{one.job} answered with {one.status}"
+                yield f"count answered with {one.status}"
             continue
         statuses[one.job].append(one.status)
         if one.status not in (0, 200, 429, 502, 503, 504):
--- a/scripts/soak/plan.py
+++ b/scripts/soak/plan.py
@@ -71,10 +71,12 @@
     return sorted(steps, key=lambda step: step[0])
 
 
-def make_config(version, salt):
-    """The jobs' route stays; others come and go, and time-outs change."""
+def make_config(version, salt, others):
+    """The jobs' route and `others` more stay; six come and go, and time-outs
+    change."""
     draw = random.Random(salt)
     names = ["jobs"] + [f"extra{i}" for i in range(6) if draw.random() < 0.5]
+    names += [f"other{i}" for i in range(others)]
     routes = [{"name": name, "host": "soak.example", "prefix": f"/{name}/", "service": "s",
                "timeoutMs": draw.choice((4000, 5000, 6000)), "targetDurationMs": 400,
                "stretch": 2.0, "maxAttempts": 3, "priority": 0} for name in names]
--- a/scripts/soak/processes.py
+++ b/scripts/soak/processes.py
@@ -46,7 +46,6 @@
         self.signals = []       # (s, name) of those that were sent
         self.stopping = False   # a SIGTERM was sent in this life
         self.hangup_at_start = False
-        self.cores = ()         # those that it runs on; empty: all
         self.once = False       # no second SIGTERM during a drain
         self.over = False
         self.broken = []        # violations
@@ -88,8 +87,6 @@
                 self.process = await asyncio.create_subprocess_exec(
                     self.binary, stdout=log, stderr=log,
                     env={**os.environ, "CACTUSMAST_BOOT": self.settings})
-            if self.cores:
-                os.sched_setaffinity(self.process.pid, self.cores)
             self.started = now()
             if self.hangup_at_start and self.draw.random() < 0.5:
                 asyncio.get_running_loop().call_later(
--- a/scripts/soak/stop_soak.py
+++ b/scripts/soak/stop_soak.py
@@ -46,7 +46,6 @@
         for entry in self.entries:
             entry.hangup_at_start = "hangups" in self.kinds
             entry.once = options.once
-            entry.cores = sorted(os.sched_getaffinity(0))[-options.cores:] if options.cores else ()
 
     def program(self, role, name, host, seeds):
         return Program(self.options.build, role, name, host, self.store_host, seeds[:3],
@@ -54,7 +53,7 @@
 
     def put_config(self, salt):
         self.version += 1 + salt % 5
-        self.store.put_json("op", "config", make_config(self.version, salt))
+        self.store.put_json("op", "config", make_config(self.version, salt, self.options.routes))
         self.configs.append(now())
 
     def act(self, what, whom):
@@ -91,9 +90,6 @@
                           (0.5, 1.5, 4.0)[i % 3], self.options.overrun)
                    for i in range(count)]
         calls = [asyncio.ensure_future(caller.run()) for caller in callers]
-        calls += [asyncio.ensure_future(
-            Caller(count + 4 * i, self.options.seed, self.balancer, self.record, 0, 0).run_bulk())
-            for i in range(self.options.bulk)]
         for at, what, whom in make_plan(self.options.seed, self.options.seconds,
                                         len(self.entries), self.kinds):
             await asyncio.sleep(self.begin + at - now())
@@ -151,12 +147,10 @@
                         help="no second SIGTERM during a drain")
     parser.add_argument("--overrun", type=float, default=0,
                         help="share of jobs that take far longer than declared")
-    parser.add_argument("--bulk", type=int, default=0,
-                        help="callers that send large requests, to keep the entries busy")
-    parser.add_argument("--cores", type=int, default=0,
-                        help="let the entries share this number of cores")
     parser.add_argument("--cpu", type=int, default=64000,
                         help="thousandths of a core of each backend server; a job takes 500 or 1000")
+    parser.add_argument("--routes", type=int, default=300,
+                        help="of each configuration; a large one holds an entry up")
     parser.add_argument("--logs", help="keep the logs of the programs in this folder")
     options = parser.parse_args()
     options.build = os.path.abspath(options.build)
