--- a/scripts/soak/callers.py
+++ b/scripts/soak/callers.py
@@ -33,10 +33,9 @@
 
 class Caller:
     def __init__(self, number, seed, balancer, record, pause_s, overrun):
-        self.number = number
+        self.number, self.seed = number, seed
         self.draw = random.Random(f"{seed}/caller/{number}")
-        self.balancer = balancer
-        self.record = record        # Record
+        self.balancer, self.record = balancer, record
         self.pause_s = pause_s      # between two requests, on average
         self.overrun = overrun      # share of jobs that outlast what they declare
         # Of each four callers one sends in pieces, one is late with its first
@@ -68,11 +67,10 @@
     async def submit(self):
         self.jobs += 1
         job = f"{self.number + 1:08x}{self.jobs:08x}"
-        takes = self.draw.choice((20, 60, 150, 300, 300, 600, 1200))
-        declared = takes
-        if self.draw.random() < self.overrun:
-            takes = 7000
-        count = self.draw.choice((1, 1, 2))
+        draw = random.Random(f"{self.seed}/{job}")
+        declared = draw.choice((20, 60, 150, 300, 300, 600, 1200))
+        takes = 7000 if draw.random() < self.overrun else declared
+        count = draw.choice((1, 1, 2))
         for number in range(1, 9):
             steps = [{"count": count, "cpu": 500, "memMb": 16, "estimateMs": declared}]
             body = json.dumps({"spec": f"{number}/{takes}", "bestEffort": True,
--- a/scripts/soak/checks.py
+++ b/scripts/soak/checks.py
@@ -57,8 +57,9 @@
     statuses = collections.defaultdict(list)
     for one in record.tries:
         if one.job == "count":
-            if one.status not in (0, 200, 404, 503):
-                yield f"count answered with {one.status}"
+            if one.status not in (0, 200, 404, 503) or \
+                    (one.status == 200 and b'"queuedJobs":' not in one.body):
+                yield f"count answered with {one.status} {one.body!r}"
             continue
         statuses[one.job].append(one.status)
         if one.status not in (0, 200, 429, 502, 503, 504):
--- a/scripts/soak/http_wire.py
+++ b/scripts/soak/http_wire.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import socket
 import time
 from urllib.parse import parse_qsl, unquote, urlsplit
 
--- a/scripts/soak/standins.py
+++ b/scripts/soak/standins.py
@@ -81,16 +81,18 @@
 
     def __init__(self):
         self.starts = collections.defaultdict(list)  # by job: (s, spec, task, run)
-        self.running = {}                            # task: names of its servers
+        self.running = {}                            # task: its servers
         self.done = collections.defaultdict(set)     # by job: tasks that ended done
         self.twice = []                              # violations
 
     def started(self, task, run, spec, server):
         self.starts[task[:16]].append((now(), spec, task, run))
+        for other in list(self.running.get(task, ())):
+            other.end_lease()
         others = self.running.setdefault(task, [])
         if others:
-            self.twice.append(f"task {task}: run {run} began on {server} while it "
-                              f"ran on {others}")
+            self.twice.append(f"task {task}: run {run} began on {server.name} while it "
+                              f"ran on {[other.name for other in others]}")
         others.append(server)
 
     def ended(self, task, how, server):
@@ -154,7 +156,7 @@
             takes = int(body["spec"].split("/")[1]) / 1000
             timer = asyncio.get_running_loop().call_later(takes, self.end, task, run, "done")
             self.running[task] = [run, body["spec"], now(), takes, timer]
-            self.book.started(task, run, body["spec"], self.name)
+            self.book.started(task, run, body["spec"], self)
         reply(200, {"clockMs": self.clock()})
 
     def stop(self, task, run):
@@ -174,7 +176,7 @@
         self.last_runs[task] = max(run, self.last_runs.get(task, 0))
         self.ends += 1
         self.ended.append([self.ends, task, run, how, ""])
-        self.book.ended(task, how, self.name)
+        self.book.ended(task, how, self)
         self.news.set()
         self.news = asyncio.Event()
 
@@ -197,9 +199,13 @@
     async def keep_leases(self):
         while True:
             await asyncio.sleep(0.01)
-            if self.clock() > self.until:
-                for task, held in list(self.running.items()):
-                    self.end(task, held[0], "lapsed")
+            self.end_lease()
+
+    def end_lease(self):
+        """Ends all that runs if the lease is over."""
+        if self.clock() > self.until:
+            for task, held in list(self.running.items()):
+                self.end(task, held[0], "lapsed")
 
     async def announce(self):
         """Heartbeats to the executor beside this server, whenever it is up."""
