Soak of planned work: refusals that answer no request, drains with open jobs

An entry that closes an idle connection in a drain may first refuse what comes next on it: a 503 with Connection: close that nobody asked for, from an entry that drains. Callers then open another connection; a request that crossed it has that answer. A try that was refused and has a start is a violation now.

A drain that had to end jobs at its deadline is a violation where each job could end: with ample capacity, and unless the soak itself, with its backend servers, stood still for 0.2 s of that drain (seen with four soaks at once beside a load of 30: it stood still for up to 1.2 s). All of them are counted.

--- a/scripts/soak/callers.py
+++ b/scripts/soak/callers.py
@@ -52,6 +52,7 @@
             else:
                 await self.submit()
             await self.pause(self.draw.expovariate(1 / self.pause_s))
+        self.look_at_end()
 
     async def pause(self, seconds):
         try:
@@ -80,28 +81,33 @@
             if self.record.over.is_set() and one.status != 200:
                 return
             if one.status in (429, 503):
-                self.leave()
+                self.look_at_end()
                 await asyncio.sleep(self.draw.uniform(0.1, 0.5))
             elif one.status in (0, 502, 504):
-                self.leave()
+                self.look_at_end()
                 await asyncio.sleep(RESEND_S)
             else:
                 return
 
-    def leave(self):
-        if self.connection is not None:
-            self.connection.close()
-            self.connection = None
+    def look_at_end(self):
+        """Keeps what a connection that is given up has shown."""
+        connection, self.connection = self.connection, None
+        if connection is not None:
+            connection.close()
+            self.record.bad += [f"{connection.entry.name}: {bad}" for bad in connection.bad]
+            if connection.refused_at is not None:
+                self.record.unasked.append((connection.refused_at, connection.entry))
 
     async def connect(self):
-        while self.connection is None or self.connection.closed is not None:
+        while self.connection is None or not self.connection.usable():
+            self.look_at_end()
             entry = self.balancer.choose(self.draw)
             try:
                 self.connection = await CallerConnection.open(entry, entry.host, 9161)
                 self.connection.life = entry.starts
                 if self.habit == "late":
                     await asyncio.sleep(self.draw.choice((0, 0.002, 0.02, 0.1, 0.5)))
-                    self.record.unused_closes += self.connection.closed is not None
+                    self.record.unused_closes += not self.connection.usable()
             except (OSError, asyncio.TimeoutError):
                 self.record.refused_connections += 1
                 await asyncio.sleep(self.draw.uniform(0.05, 0.3))
@@ -117,41 +123,39 @@
                 f"Content-Length: {len(body)}\r\n\r\n").encode()
         answer = connection.expect()
         one.sent = now()
-        await self.write(connection, head, body)
-        if connection.closed is None:
+        if await self.write(connection, answer, head, body):
             one.whole = now()
         try:
             got = await asyncio.wait_for(asyncio.shield(answer), WAIT_MS / 1000 + 1)
         except asyncio.TimeoutError:
             one.status, one.end, one.ended_by = -1, now(), "the caller: no answer"
-            self.leave()
+            self.look_at_end()
             return one
         one.end = now()
         if got is None:
             one.received, one.ended_by = len(connection.data), connection.how
-            self.connection = None
+            self.look_at_end()
         else:
             one.status, headers, one.body = got
             if headers.get("connection", "").lower() == "close" or \
                     (self.habit == "few" and connection.requests >= 3):
-                self.leave()
-        self.record.bad += [f"job {job} try {number}: {bad}" for bad in connection.bad]
-        connection.bad.clear()
+                self.look_at_end()
         return one
 
-    async def write(self, connection, head, body):
-        """Sends the request; the last write is its last byte."""
+    async def write(self, connection, answer, head, body):
+        """Sends the request; False if the connection ended before its last byte."""
         if self.habit != "pieces":
             connection.transport.write(head + body)
-            return
+            return connection.closed is None
         cut = self.draw.randrange(1, len(head))
         pieces = [head[:cut], head[cut:] + body[:len(body) // 2], body[len(body) // 2:]]
         for i, piece in enumerate(piece for piece in pieces if piece):
             if i > 0:
                 await asyncio.sleep(self.draw.choice((0.001, 0.005, 0.03)))
-            if connection.closed is not None:
-                return
+            if connection.closed is not None or answer.done():
+                return False
             connection.transport.write(piece)
+        return connection.closed is None
 
 
 class Record:
@@ -162,5 +166,6 @@
         self.job_tasks = {}     # job: number of its tasks
         self.refused_connections = 0
         self.unused_closes = 0  # before the first request on a connection
+        self.unasked = []       # (s, entry) of refusals that answer no request
         self.bad = []           # what broke HTTP
         self.over = asyncio.Event()
--- a/scripts/soak/checks.py
+++ b/scripts/soak/checks.py
@@ -40,14 +40,18 @@
             f"{one.received} bytes of an answer; {told}; before: {ago}")
 
 
+def overlap(stretches, begin, end):
+    """How much of the time from begin to end lies in the stretches, in s."""
+    return sum(max(0, min(to, end) - max(since, begin)) for since, to in stretches)
+
+
 def is_lost(one, book, configs, lags):
     """`lags`: when this process stood still; an end in that time may have come
     at its beginning."""
     if one.status != 0 or not one.whole:
         return False
     passed_on = bool(starts_of(one, book))
-    seen_late = sum(max(0, min(to, one.end) - max(begin, one.whole)) for begin, to in lags)
-    late = one.end - one.whole - seen_late > LOSS_SLACK_S
+    late = one.end - one.whole - overlap(lags, one.whole, one.end) > LOSS_SLACK_S
     planned = any(value <= AFTER[name] for name, value in since(one, configs).items())
     return (passed_on or late) and planned
 
@@ -64,6 +68,8 @@
         statuses[one.job].append(one.status)
         if one.status not in (0, 200, 429, 502, 503, 504):
             yield f"job {one.job} try {one.number} at {one.entry.name}: status {one.status}"
+        if one.status in (429, 503) and starts_of(one, book):
+            yield f"job {one.job} try {one.number} was refused, and started"
         if one.status == 200:
             state = json.loads(one.body).get("state")
             if state not in ("completed", "failed"):
@@ -71,6 +77,10 @@
             elif state == "completed" and \
                     len(book.done[one.job]) != record.job_tasks.get(one.job, -1):
                 yield f"job {one.job} is said to be completed, and isn't"
+    for at, entry in record.unasked:
+        stops = [stop for stop, name in entry.signals if name == "SIGTERM"]
+        if last_before(stops, at) > AFTER["SIGTERM"]:
+            yield f"{entry.name} refused what nobody had sent, and wasn't draining"
     for job, seen in statuses.items():
         if book.starts.get(job) and all(status in (429, 503) for status in seen):
             yield f"job {job} was refused at all its {len(seen)} tries, and started"
--- a/scripts/soak/http_wire.py
+++ b/scripts/soak/http_wire.py
@@ -80,6 +80,7 @@
         self.closed = None      # time of the end, once the entry has ended it
         self.how = ""           # "eof" or the error that ended it
         self.requests = 0       # sent in full or in part
+        self.refused_at = None  # time of a refusal that answers no request
         self.bad = []           # what broke HTTP
         self.data = bytearray()
         self.waiter = None
@@ -105,24 +106,31 @@
 
     def data_received(self, data):
         self.data += data
-        if self.waiter is None or self.waiter.done():
-            self.bad.append(f"bytes that answer no request: {bytes(data)[:80]!r}")
-            return
         try:
-            message = split_message(self.data)
+            while (message := split_message(self.data)) is not None:
+                line, headers, body, size = message
+                del self.data[:size]
+                if self.waiter is None or self.waiter.done():
+                    self.take_unasked(line, headers)
+                else:
+                    self.take_answer(line, headers, body)
         except ValueError as error:
             self.bad.append(str(error))
-            return
-        if message is None:
-            return
-        line, headers, body, size = message
-        del self.data[:size]
+
+    def take_answer(self, line, headers, body):
         words = line.split(" ", 2)
-        if words[0] != "HTTP/1.1" or not words[1].isdigit() or self.data or \
-                "content-length" not in headers:
-            self.bad.append(f"foreign answer: {line!r}, {len(self.data)} bytes after it")
+        if words[0] != "HTTP/1.1" or "content-length" not in headers:
+            self.bad.append(f"foreign answer: {line!r}")
         self.waiter.set_result((int(words[1]), headers, body))
 
+    def take_unasked(self, line, headers):
+        """An entry may refuse what comes next on a connection that it closes."""
+        refusal = line.startswith("HTTP/1.1 503 ") and \
+            headers.get("connection", "").lower() == "close"
+        if self.refused_at is not None or not refusal:
+            self.bad.append(f"bytes that answer no request: {line!r}")
+        self.refused_at = now()
+
     def eof_received(self):
         self.how = "eof"
 
@@ -131,6 +139,11 @@
         self.how = self.how or (type(error).__name__ if error else "closed here")
         if self.waiter is not None and not self.waiter.done():
             self.waiter.set_result(None)
+        elif self.data:
+            self.bad.append(f"bytes that answer no request: {bytes(self.data[:80])!r}")
+
+    def usable(self):
+        return self.closed is None and self.refused_at is None
 
     def close(self):
         self.transport.close()
--- a/scripts/soak/processes.py
+++ b/scripts/soak/processes.py
@@ -49,6 +49,7 @@
         self.once = False       # no second SIGTERM during a drain
         self.over = False
         self.broken = []        # violations
+        self.unfinished = []    # (from, to, text) of drains that had to end jobs
         self.ends = []          # (s, start number, code, s after its first SIGTERM)
 
     def write_settings(self):
@@ -96,6 +97,12 @@
             if not self.over:
                 await asyncio.sleep(self.draw.uniform(0.2, 1.0))
 
+    def jobs_at_deadline(self):
+        """Whether the deadline of the drain found open jobs."""
+        with open(self.log, encoding="utf-8", errors="replace") as log:
+            return any('"drain_deadline"' in line and '"open_jobs":"0"' not in line
+                       for line in log)
+
     def note_end(self, code):
         terms = [at for at, name in self.signals if name == "SIGTERM" and at >= self.started]
         after = now() - terms[0] if terms else 0
@@ -106,6 +113,9 @@
             self.broken.append(f"{life} ended by itself with {code}, "
                                f"{now() - self.started:.3f} s after its start; {last}")
         elif code != 0:
-            self.broken.append(f"{life} ended with {code}, {after:.3f} s after SIGTERM "
-                               f"({len(terms)} of them), "
-                               f"{now() - self.started:.3f} s after its start")
+            text = (f"{life} ended with {code}, {after:.3f} s after SIGTERM "
+                    f"({len(terms)} of them), {now() - self.started:.3f} s after its start")
+            if self.jobs_at_deadline():
+                self.unfinished.append((terms[0], now(), text + ", with open jobs"))
+            else:
+                self.broken.append(text)
--- a/scripts/soak/stop_soak.py
+++ b/scripts/soak/stop_soak.py
@@ -22,6 +22,8 @@
 from standins import BackendServer, Balancer, Store, TaskBook
 
 SETTLE_S = 2.0
+AMPLE_CPU = 64000
+DISTURBED_S = 0.2
 CALLERS_PER_JOB = 2     # callers for each job a second
 
 
@@ -106,13 +108,24 @@
                 raise task.exception()
             task.cancel()
 
+    def could_finish(self, begin, to):
+        """Whether each job can end in a drain: there is ample capacity, and this
+        process, with the backend servers in it, did not itself stand still."""
+        stood_still = checks.overlap(self.lags, begin, to)
+        ample = self.options.cpu >= AMPLE_CPU and self.options.overrun == 0
+        return ample and stood_still < DISTURBED_S
+
     def report(self):
         """Prints what was seen; returns the number of violations."""
         lost = [one for one in self.record.tries
                 if checks.is_lost(one, self.book, self.configs, self.lags)]
         other = [one for one in self.record.tries if one.status <= 0 and one.end > 0
                  and one not in lost]
-        broken = [bad for one in self.entries + self.executors for bad in one.broken]
+        crossing = [one for one in other if one.whole]
+        programs = self.entries + self.executors
+        broken = [bad for one in programs for bad in one.broken]
+        unfinished = [drain for one in programs for drain in one.unfinished]
+        broken += [text for begin, to, text in unfinished if self.could_finish(begin, to)]
         false = self.book.twice + self.record.bad + \
             list(checks.check_answers(self.record, self.book))
         for title, tries in (("LOST", lost), ("cut", other)):
@@ -123,13 +136,15 @@
                 print(title, line)
         seen = collections.Counter(one.status for one in self.record.tries)
         worst_lag = max((to - begin for begin, to in self.lags), default=0)
-        ends = [end for one in self.entries + self.executors for end in one.ends]
+        ends = [end for one in programs for end in one.ends]
         print(f"seed {self.options.seed}, {'+'.join(self.kinds)}: "
               f"{len(self.record.tries)} tries, status {dict(sorted(seen.items()))}; "
               f"connections: {self.record.refused_connections} refused, "
-              f"{self.record.unused_closes} closed unused; {len(ends)} ends of processes, "
+              f"{self.record.unused_closes} closed unused, {len(self.record.unasked)} refused "
+              f"unasked; {len(ends)} ends of processes, "
               f"lag {1000 * worst_lag:.0f} ms at most; LOST {len(lost)}, "
-              f"cut otherwise {len(other)}, false {len(false)}, processes {len(broken)}")
+              f"cut while sending {len(other) - len(crossing)}, crossing {len(crossing)}, false {len(false)}, processes {len(broken)}; "
+              f"{len(unfinished)} drains had to end jobs")
         return len(lost) + len(false) + len(broken)
 
 
@@ -147,7 +162,7 @@
                         help="no second SIGTERM during a drain")
     parser.add_argument("--overrun", type=float, default=0,
                         help="share of jobs that take far longer than declared")
-    parser.add_argument("--cpu", type=int, default=64000,
+    parser.add_argument("--cpu", type=int, default=AMPLE_CPU,
                         help="thousandths of a core of each backend server; a job takes 500 or 1000")
     parser.add_argument("--routes", type=int, default=300,
                         help="of each configuration; a large one holds an entry up")
