--- a/scripts/soak/stop_soak.py
+++ b/scripts/soak/stop_soak.py
@@ -143,7 +143,8 @@
               f"{self.record.unused_closes} closed unused, {len(self.record.unasked)} refused "
               f"unasked; {len(ends)} ends of processes, "
               f"lag {1000 * worst_lag:.0f} ms at most; LOST {len(lost)}, "
-              f"cut while sending {len(other) - len(crossing)}, crossing {len(crossing)}, false {len(false)}, processes {len(broken)}; "
+              f"cut while sending {len(other) - len(crossing)}, crossing {len(crossing)}, "
+              f"false {len(false)}, processes {len(broken)}; "
               f"{len(unfinished)} drains had to end jobs")
         return len(lost) + len(false) + len(broken)
 
--- a/shell/daemon.cc
+++ b/shell/daemon.cc
@@ -23,7 +23,7 @@
 constexpr guint kExitCloseMs = 50;
 // How long the exit waits at most for output that is still pending. A process
 // that takes longer than its time to stop is killed.
-constexpr duration kMaxExitFlush = milliseconds(500);
+constexpr duration kMaxExitFlush = milliseconds(400);
 constexpr guint kExitCheckMs = 10;
 void
 ChangeSignalMask(int aHow)
