--- a/scripts/soak/processes.py
+++ b/scripts/soak/processes.py
@@ -29,6 +29,16 @@
 }
 
 
+def is_running(process):
+    """Asks the kernel: while this process stands still it learns of ends late."""
+    try:
+        with open(f"/proc/{process.pid}/stat", encoding="utf-8") as stat:
+            state = stat.read().rpartition(")")[2].split()[0]
+    except FileNotFoundError:
+        return False
+    return process.returncode is None and state != "Z"
+
+
 class Program:
     def __init__(self, build, role, name, host, store, seeds, folder, seed):
         self.name, self.host = name, host
@@ -73,7 +83,7 @@
 
     async def kill_after_grace(self, process, number):
         await asyncio.sleep(GRACE_S)
-        if process.returncode is None:
+        if is_running(process):
             self.broken.append(f"{self.name}.{number} needs SIGKILL after {GRACE_S} s")
             process.kill()
 
