--- a/shell/testing/http_server_test.cc
+++ b/shell/testing/http_server_test.cc
@@ -144,6 +144,17 @@
   CHECK(received.substr(received.size() - 6) == "\r\n\r\n{}");
 }
 
+// Runs the main loop until aServer has no connection left.
+void
+RunUntilNoConnection(const http_server& aServer)
+{
+  gint64 end = g_get_monotonic_time() + 10 * G_USEC_PER_SEC;
+  while (aServer.OpenConnections() > 0 && g_get_monotonic_time() < end) {
+    g_main_context_iteration(nullptr, TRUE);
+  }
+  CHECK(aServer.OpenConnections() == 0);
+}
+
 // The number of descriptors that the main loop polls in each turn.
 int
 PolledDescriptors()
@@ -380,12 +391,22 @@
     ExpectAnswers(client, 1);
     close(client);
   }
-  gint64 end = g_get_monotonic_time() + 10 * G_USEC_PER_SEC;
-  while (server.mServer->OpenConnections() > 0 &&
-         g_get_monotonic_time() < end) {
-    g_main_context_iteration(nullptr, TRUE);
+  RunUntilNoConnection(*server.mServer);
+}
+
+TEST_CASE(
+  "clients that leave in the middle of a request free their descriptors")
+{
+  // Guards against a process that runs out of descriptors after a while.
+  constexpr int kClients = 20;
+  loopback_server server = ServeOnLoopback([](http_exchange&) {});
+  for (int i = 0; i < kClients; i++) {
+    int client = Connect(server.mPort);
+    Send(client, "POST /job HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n{");
+    RunLoopFor(5);
+    close(client);
   }
-  CHECK(server.mServer->OpenConnections() == 0);
+  RunUntilNoConnection(*server.mServer);
 }
 
 TEST_CASE("a server that stops accepting serves the connections it has")
