A test daemon no longer keeps the main loop busy after its test

Cause: busy_daemon left a source in the main context for 4 s. It starved the timer of low priority with which a drained process leaves, so that the drains of the next test file waited anyway, and "a drain waits for the answer to an operator's change" could not fail in a run of all tests. Change: the daemon removes its source when it is destroyed.

--- a/shell/testing/daemon_test.cc
+++ b/shell/testing/daemon_test.cc
@@ -18,7 +18,16 @@
 class busy_daemon : public daemon_loop
 {
 public:
-  busy_daemon() { g_idle_add(&busy_daemon::OnWork, this); }
+  busy_daemon()
+    : mWorkSource(g_idle_add(&busy_daemon::OnWork, this))
+  {
+  }
+  ~busy_daemon() override
+  {
+    if (mWorkSource != 0) {
+      g_source_remove(mWorkSource);
+    }
+  }
   bool Aborted() const { return mWasAborted; }
 
 protected:
@@ -32,9 +41,15 @@
   static gboolean OnWork(gpointer aData)
   {
     auto* self = static_cast<busy_daemon*>(aData);
-    return Now() < self->mStopWorkAt ? G_SOURCE_CONTINUE : G_SOURCE_REMOVE;
+    if (Now() < self->mStopWorkAt) {
+      return G_SOURCE_CONTINUE;
+    }
+    self->mWorkSource = 0;
+    return G_SOURCE_REMOVE;
   }
 
+  guint mWorkSource; // 0 once it ended
+
   instant mStopWorkAt = Now() + milliseconds(4000);
   bool mWasAborted = false;
 };
@@ -159,8 +174,7 @@
   // Guards against a main loop under constant load that never checks the drain
   // deadline: small entries would be killed at the end of the grace period.
   constexpr uint32_t kDrainMs = 200;
-  // Static because its source stays in the main context, which later tests run.
-  static busy_daemon daemon;
+  busy_daemon daemon;
   g_timeout_add(50, &RaiseTerminate, nullptr);
   instant startedAt = Now();
   int code = daemon.Run(kDrainMs);
