Entries and guards leave no unsent answer and no queue behind either

Callers saw: nothing measured; found by the review of the same cause elsewhere. Cause: only coordinators and executors had the new exit. After a drain that was cut short an entry or guard did not wait for unsent answers, and connections in the queue of its listener were reset. Change: both wait for unsent answers and messages, and stop accepting just before the exit. The parts are tested with http_server and daemon_loop; the two lines in each daemon have no test of their own. Left: these programs do not close kept connections in a drain, so a request that crosses their exit gets no answer.

--- a/shell/entry_daemon.cc
+++ b/shell/entry_daemon.cc
@@ -175,6 +175,18 @@
   AddConnectionFields(*mHttp, aFields);
 }
 
+void
+entry_daemon::OnBeforeExit()
+{
+  mHttp->StopAccepting();
+}
+
+bool
+entry_daemon::OutputPending() const
+{
+  return mHttp->UnsentAnswers() > 0 || mTransport->OutputPending();
+}
+
 void
 entry_daemon::OnAbort()
 {
--- a/shell/entry_daemon.h
+++ b/shell/entry_daemon.h
@@ -44,6 +44,8 @@
   void OnDrain() override;
   bool IsDrained() override;
   void OnAbort() override;
+  void OnBeforeExit() override;
+  bool OutputPending() const override;
   event_sink* Events() override { return &mLog; }
   void OnExit(std::vector<event_field>* aFields) override;
 
--- a/shell/guard_daemon.cc
+++ b/shell/guard_daemon.cc
@@ -189,6 +189,18 @@
   AddConnectionFields(*mHttp, aFields);
 }
 
+void
+guard_daemon::OnBeforeExit()
+{
+  mHttp->StopAccepting();
+}
+
+bool
+guard_daemon::OutputPending() const
+{
+  return mHttp->UnsentAnswers() > 0 || mTransport->OutputPending();
+}
+
 void
 guard_daemon::OnAbort()
 {
