--- a/cactusmast/job_coordinator_limits.h
+++ b/cactusmast/job_coordinator_limits.h
@@ -52,8 +52,8 @@
 // executors, and the loop of a small entry makes hundreds of turns a second.
 constexpr duration kTimeoutCheckInterval = milliseconds(25);
 // Time in which all executors connect, from the first one on. Their dials of an
-// entry that has restarted are at most 100 ms apart, those of others 400 ms,
-// and a handshake takes at most 350 ms.
+// entry that has restarted are at most 100 ms apart, dials of any other entry
+// 400 ms, and a handshake takes at most 350 ms.
 constexpr duration kDiscoveryTime = milliseconds(1500);
 // Minimum interval between placements of all waiting tasks. All executors
 // together send thousands of reports a second; placing after each of them would
--- a/shell/coordinator_daemon.cc
+++ b/shell/coordinator_daemon.cc
@@ -359,8 +359,8 @@
     return;
   }
   mNextExecutorCheck = aNow + kExecutorCheckInterval;
-  // A copy, because sending may close a connection, which removes its executor
-  // from the busy ones.
+  // A copy, because closing a connection removes its executor from the busy
+  // ones.
   const std::set<peer_id> busy = mCoordinator.BusyExecutors();
   for (peer_id peer : busy) {
     auto found = mExecutorPeers.find(peer);
--- a/shell/coordinator_daemon.h
+++ b/shell/coordinator_daemon.h
@@ -72,7 +72,7 @@
   void OnDrain() override;
   bool IsDrained() override;
   void OnAbort() override;
-  void OnLastTurns() override;
+  void OnBeforeExit() override;
   bool OutputPending() const override;
   void OnExit(std::vector<event_field>* aFields) override;
   void AddMetrics(metrics_page* aPage) override;
--- a/shell/coordinator_requests.cc
+++ b/shell/coordinator_requests.cc
@@ -115,7 +115,7 @@
 }
 
 void
-coordinator_daemon::OnLastTurns()
+coordinator_daemon::OnBeforeExit()
 {
   mFront->StopAccepting();
   mFront->CloseIdle(duration{}, ErrorAnswer(DrainingRefusal()));
--- a/shell/daemon.cc
+++ b/shell/daemon.cc
@@ -21,10 +21,12 @@
 constexpr guint kExitFlushMs = 250;
 // The last part of the exit: some round trips of clients.
 constexpr guint kExitCloseMs = 50;
-// How long the exit waits at most for output that is still pending. A process
-// that takes longer than its time to stop is killed.
-constexpr duration kMaxExitFlush = milliseconds(400);
+// How long the exit takes at most if output is still pending. A process that
+// takes longer than its time to stop is killed.
+constexpr duration kMaxExitTime = milliseconds(400);
+// Interval of the check for pending output.
 constexpr guint kExitCheckMs = 10;
+
 void
 ChangeSignalMask(int aHow)
 {
@@ -196,7 +198,7 @@
 daemon_loop::QuitSoon(gint aPriority)
 {
   RemoveSource(&mQuitSource);
-  mQuitBy = Now() + kMaxExitFlush;
+  mQuitBy = Now() + kMaxExitTime;
   mQuitSource = g_timeout_add_full(
     aPriority, kExitFlushMs, &daemon_loop::OnFlushTimer, this, nullptr);
 }
@@ -212,7 +214,7 @@
 daemon_loop::OnFlushTimer(gpointer aData)
 {
   auto* self = static_cast<daemon_loop*>(aData);
-  self->OnLastTurns();
+  self->OnBeforeExit();
   self->ArmQuitTimer(kExitCloseMs);
   return G_SOURCE_REMOVE;
 }
--- a/shell/daemon.h
+++ b/shell/daemon.h
@@ -82,8 +82,8 @@
   virtual bool IsDrained() = 0;
   // The drain was cut short.
   virtual void OnAbort() = 0;
-  // Only some turns of the loop are left before the process exits.
-  virtual void OnLastTurns() {}
+  // Called some turns of the loop before the process exits.
+  virtual void OnBeforeExit() {}
   // Whether answers or messages are not written yet. The process then exits a
   // little later.
   virtual bool OutputPending() const { return false; }
--- a/shell/http_server.cc
+++ b/shell/http_server.cc
@@ -146,11 +146,12 @@
   return (aAnswer.mRetryAfterMs + 999) / 1000;
 }
 
-// Whether bytes arrived that do not belong to the requests read so far.
+// Whether bytes arrived after the last request was complete.
 bool
 HasPartOfRequest(GSocket* aSocket, const client_connection& aConnection)
 {
-  return ReceivedBytes(g_socket_get_fd(aSocket)) > aConnection.mRequestedBytes;
+  return ReceivedBytes(g_socket_get_fd(aSocket)) >
+         aConnection.mBytesAtLastRequest;
 }
 
 // aAnswer as bytes, for a connection that is closed after it.
@@ -422,7 +423,8 @@
   aSweep->mWithUnsentAnswer += aConnection.mUnsentAnswers > 0 ? 1 : 0;
   aSweep->mWithPartRequest += HasPartOfRequest(aSocket, aConnection) ? 1 : 0;
   aConnection.mClosedAsIdle = true;
-  // Nothing else is in the buffer of an idle connection, so it has room.
+  // The last answer may still be in the kernel's buffer; the refusal follows
+  // it. If there is no room, the client sees only the end of the connection.
   send(g_socket_get_fd(aSocket),
        aRefusal.data(),
        aRefusal.size(),
@@ -460,13 +462,13 @@
     for (auto it = group->mOpenSockets.begin();
          it != group->mOpenSockets.end();) {
       auto& [socket, connection] = *it;
-      bool wasAbandoned = connection->mAbandoned;
-      connection->mAbandoned = busy.count(socket) == 0 &&
-                               IsIdle(*group, socket, *connection) &&
-                               Peek(socket) == peek_result::End;
+      bool wasClosed = connection->mClientClosed;
+      connection->mClientClosed = busy.count(socket) == 0 &&
+                                  IsIdle(*group, socket, *connection) &&
+                                  Peek(socket) == peek_result::End;
       // The second time, libsoup has read the end too and no longer polls the
       // socket.
-      if (wasAbandoned && connection->mAbandoned) {
+      if (wasClosed && connection->mClientClosed) {
         g_socket_close(socket, nullptr);
         it = group->mOpenSockets.erase(it);
       } else {
@@ -532,7 +534,7 @@
   }
   aExchange->mConnection = found->second;
   aExchange->mConnection->mUsed = true;
-  aExchange->mConnection->mRequestedBytes =
+  aExchange->mConnection->mBytesAtLastRequest =
     ReceivedBytes(g_socket_get_fd(socket));
 }
 
--- a/shell/http_server.h
+++ b/shell/http_server.h
@@ -47,11 +47,11 @@
   instant mLastActivity{};
   bool mUsed = false; // has carried a request
   // Bytes received when its last request was complete.
-  uint64_t mRequestedBytes = 0;
+  uint64_t mBytesAtLastRequest = 0;
   size_t mUnsentAnswers = 0;  // answers that are not written yet
   bool mClosedAsIdle = false; // by CloseIdle
   // The client had closed it when CloseAbandoned last looked.
-  bool mAbandoned = false;
+  bool mClientClosed = false;
 };
 
 // A request that has not been answered yet, or whose answer is not written yet.
