--- a/cactusmast/testing/job_coordinator_test.cc
+++ b/cactusmast/testing/job_coordinator_test.cc
@@ -113,8 +113,7 @@
 
 TEST_CASE("a job waits for a server that can hold it while executors connect")
 {
-  // Guards against an entry that fails a job for good in its first moments,
-  // because only executors of smaller servers have connected yet.
+  // Guards against an entry that fails a job for good as soon as it starts.
   new_entry entry;
   entry.AddExecutor(1, kSmallMillis);
   entry.SubmitLarge();
--- a/cactusmast/testing/shard_owner_test.cc
+++ b/cactusmast/testing/shard_owner_test.cc
@@ -80,8 +80,7 @@
 
 TEST_CASE("a caller of a job that is being handed over is routed again")
 {
-  // Guards against a caller that is told that its job is in doubt while the
-  // previous owner submits it to the next one.
+  // Guards against a caller that is told that a job handed over is in doubt.
   successor next;
   waiter waiting{ 1, next.mNow + seconds(1) };
   next.mOwner.Await("blue", next.mJob, waiting, next.mNow);
--- a/shell/testing/daemon_test.cc
+++ b/shell/testing/daemon_test.cc
@@ -94,8 +94,7 @@
 
 TEST_CASE("a stop signal that is repeated does not cut a drain short")
 {
-  // Guards against overlapping series of planned stops that break off the
-  // requests in flight.
+  // Guards against overlapping planned stops that break off open requests.
   draining_daemon daemon(milliseconds(400));
   for (guint delayMs : { 20, 100, 200 }) {
     g_timeout_add(delayMs, &RaiseTerminate, nullptr);
--- a/shell/testing/entry_daemon_test.cc
+++ b/shell/testing/entry_daemon_test.cc
@@ -245,8 +245,7 @@
 
 TEST_CASE("a drain waits until a large answer is written")
 {
-  // Guards against an entry that exits while an answer waits for its client to
-  // read.
+  // Guards against an entry that exits while its client is still reading.
   constexpr size_t kRowBytes = 32u << 20;
   operated_entry& entry = operated_entry::Create("nothing");
   entry.Table().SetAuditRow(kRowBytes);
@@ -263,8 +262,7 @@
 
 TEST_CASE("an entry that drains refuses an operator's change")
 {
-  // Guards against a change that is accepted in the moments before the exit and
-  // never answered.
+  // Guards against a change that is accepted just before the exit.
   operated_entry& entry = operated_entry::Create(kDocument);
   entry.After(kRequestAtMs, [](auto& aEntry) { aEntry.SendDrain(); });
   entry.After(2 * kRequestAtMs, [](auto& aEntry) { aEntry.SendChange(); });
@@ -289,8 +287,7 @@
 
 TEST_CASE("a drain that is cut short answers an operator's change")
 {
-  // Guards against an entry that ends at the deadline of its drain without any
-  // answer to a change in flight.
+  // Guards against a change that is left without an answer at the deadline.
   operated_entry& entry = operated_entry::Create(kDocument);
   entry.After(kRequestAtMs, [](auto& aEntry) { aEntry.SendChange(); });
   entry.After(2 * kRequestAtMs, [](auto& aEntry) { aEntry.SendDrain(); });
@@ -303,8 +300,7 @@
 
 TEST_CASE("a drain that is cut short answers a read of the audit trail")
 {
-  // Guards against an entry that ends at the deadline of its drain without any
-  // answer to such a read.
+  // Guards against a read that is left without an answer at the deadline.
   operated_entry& entry = operated_entry::Create("audit/");
   entry.After(kRequestAtMs, [](auto& aEntry) { aEntry.SendAudit(); });
   entry.After(2 * kRequestAtMs, [](auto& aEntry) { aEntry.SendDrain(); });
--- a/shell/testing/http_client_test.cc
+++ b/shell/testing/http_client_test.cc
@@ -153,8 +153,7 @@
 
 TEST_CASE("a read is sent again if the kept connection broke")
 {
-  // Guards against a read that fails because the server has just closed the
-  // connection it was sent over.
+  // Guards against a read that fails because its connection was just closed.
   raw_server server({ reaction::Answer, reaction::Close, reaction::Answer });
   http_client client(4, 2000);
   CHECK(SendTo(server, client, "GET", false).mStatus == 200);
@@ -164,8 +163,7 @@
 
 TEST_CASE("a request does not fail because an idle connection was closed")
 {
-  // Guards against a request that is sent over a connection which the server
-  // closed after its last answer.
+  // Guards against a request that is sent over a connection closed before it.
   bool idempotent = false;
   SUBCASE("idempotent")
   {
--- a/shell/testing/http_server_test.cc
+++ b/shell/testing/http_server_test.cc
@@ -544,8 +544,7 @@
 
 TEST_CASE("an answer to a client that reads slowly stays unsent until the end")
 {
-  // Guards against an answer that counts as written while the kernel has only a
-  // part of it.
+  // Guards against an answer that counts as written when only a part is.
   fake_connection_observer observer;
   loopback_server server;
   server = ServeOnLoopback([&](http_exchange& aExchange) {
--- a/shell/testing/peer_transport_test.cc
+++ b/shell/testing/peer_transport_test.cc
@@ -121,8 +121,7 @@
 
 TEST_CASE("a peer is not reported down while a message is sent to it")
 {
-  // Guards against a crash of a process that sends to all its peers, one of
-  // which has stopped reading: its row would be erased during the iteration.
+  // Guards against a peer that is erased while its owner iterates over peers.
   constexpr size_t kMaxUnsent = 4096;
   connected_peers peers(kMaxUnsent);
   recorded_listener& near = peers.mNear->mListener;
