Entries ask each other for a configuration, a part at a time

What callers saw: 404 for a route 3.8 s after the version that adds it was acked, from entries on links of 25 Mbit/s.

Cause: each entry that had a version sent the whole document to each entry that had not reported it 300 ms later, though the store was delivering it there; and a peer whose version wasn't known yet, as after each connect, counted as having none, so both sides sent the whole document. Copies filled thin links, waiting heartbeats made entries close their connections as silent after 1 s with nearly all of a copy received, and each new connection sent everything again, without end.

Now an entry says in its heartbeat what it has, and one that is behind for 300 ms asks one other entry for 64 KiB at a time. It keeps what it has, goes on with another entry if one stops replying, and ends a transfer that it has begun. So no entry receives what it didn't ask for, and a heartbeat waits for one part at most. Entries of older releases, which don't ask, are sent the document as before, but only after they have said what they have.

'an entry that connects is not sent a configuration that it has' failed before. The messages and fields are new ones that older releases ignore.

--- a/cactusmast/route_config.cc
+++ b/cactusmast/route_config.cc
@@ -37,7 +37,7 @@
 result<bool>
 config_holder::Update(const std::string& aText)
 {
-  if (aText == mText) {
+  if (aText == *mText) {
     return false;
   }
   result<route_config> decoded = mDecode(aText);
@@ -50,7 +50,7 @@
   }
   mTable = std::make_shared<const route_table>(std::move(decoded.Value()));
   mVersion = version;
-  mText = aText;
+  mText = std::make_shared<const std::string>(aText);
   return true;
 }
 
--- a/cactusmast/route_config.h
+++ b/cactusmast/route_config.h
@@ -89,13 +89,16 @@
   const std::shared_ptr<const route_table>& Table() const { return mTable; }
   // 0 before the first document.
   uint64_t Version() const { return mVersion; }
-  const std::string& Text() const { return mText; }
+  // The document in force; empty before the first one.
+  const std::string& Text() const { return *mText; }
+  std::shared_ptr<const std::string> SharedText() const { return mText; }
 
 private:
   decoder mDecode;
   std::shared_ptr<const route_table> mTable;
   uint64_t mVersion = 0;
-  std::string mText;
+  std::shared_ptr<const std::string> mText =
+    std::make_shared<const std::string>();
 };
 
 } // namespace cactusmast
--- a/shell/coordinator_daemon.cc
+++ b/shell/coordinator_daemon.cc
@@ -12,9 +12,8 @@
 constexpr uint32_t kConfigWatchMs = 1500;
 // Entries change rarely, and heartbeats and settings name them too.
 constexpr uint32_t kEntryWatchMs = 10000;
-// Other entries usually get the configuration from the store as fast as this
-// one. An entry is sent a copy only if it still lacks it after this time,
-// or at once if it has no configuration at all.
+// An entry of an older release is sent a copy if it still lacks the
+// configuration after this time, or at once if it has none at all.
 constexpr duration kConfigCopyDelay = milliseconds(300);
 constexpr duration kEntryHeartbeatInterval = milliseconds(300);
 constexpr duration kPeerEntryTimeout = milliseconds(1000);
@@ -62,6 +61,7 @@
       aAdapter.mStore,
       [this](const table_change& aChange) { OnEntryRows(aChange); },
       mLog)
+  , mConfigFetcher(*this)
 {
 }
 
@@ -195,45 +195,111 @@
   auto found = mEntryPeers.find(aPeer);
   if (found != mEntryPeers.end()) {
     mDirectory.OnDisconnected(found->second.mAddress, Now());
-    mEntryPeers.erase(found);
+    RemoveEntryPeer(aPeer);
   }
   TickSoon();
 }
 
+void
+coordinator_daemon::RemoveEntryPeer(peer_id aPeer)
+{
+  mConfigFetcher.Remove(aPeer);
+  mConfigProvider.Remove(aPeer);
+  mEntryPeers.erase(aPeer);
+}
+
 void
 coordinator_daemon::OnPeerMessage(peer_id aPeer, const message& aMessage)
 {
+  auto entry = mEntryPeers.find(aPeer);
+  if (entry != mEntryPeers.end()) {
+    OnEntryMessage(aPeer, entry->second, aMessage);
+  } else if (aMessage.type == message_kind::server_report) {
+    mCoordinator.OnReport(aPeer, *aMessage.Asserver_report(), Now());
+  }
+  TickSoon();
+}
+
+void
+coordinator_daemon::OnEntryMessage(peer_id aPeer,
+                                   entry_peer& aState,
+                                   const message& aMessage)
+{
+  aState.mLastHeard = Now();
   switch (aMessage.type) {
-    case message_kind::server_report:
-      mCoordinator.OnReport(aPeer, *aMessage.Asserver_report(), Now());
+    case message_kind::entry_pulse:
+      OnEntryHeartbeat(aPeer, aState, *aMessage.Asentry_pulse());
       break;
-    case message_kind::entry_pulse: {
-      const wire::entry_pulse_msg& heartbeat = *aMessage.Asentry_pulse();
-      auto found = mEntryPeers.find(aPeer);
-      if (found == mEntryPeers.end()) {
-        break;
+    case message_kind::config_request:
+      OnConfigRequest(aPeer, aState, *aMessage.Asconfig_request());
+      break;
+    case message_kind::config_part: {
+      const wire::config_part_msg& part = *aMessage.Asconfig_part();
+      std::optional<std::string> text = mConfigFetcher.OnPart(part);
+      if (text) {
+        OnConfigCopy(aState, part.version, *text);
       }
-      found->second.mLastHeard = Now();
-      found->second.mConfigVersion = heartbeat.config_version;
-      mCoordinator.OnEvacuations(
-        DecodeEvacuations(heartbeat.evacuating.get(), Now()), Now());
-      AddEntries(heartbeat.entries, found->second.mAddress, Now());
       break;
     }
     case message_kind::config_document: {
-      auto found = mEntryPeers.find(aPeer);
-      if (found != mEntryPeers.end()) {
-        OnConfigCopy(found->second, aMessage.Asconfig_document()->text);
-      }
+      const wire::config_document_msg& whole = *aMessage.Asconfig_document();
+      OnConfigCopy(aState, whole.version, whole.text);
       break;
     }
     default:
       break;
   }
-  TickSoon();
 }
 
 void
+coordinator_daemon::OnEntryHeartbeat(peer_id aPeer,
+                                     entry_peer& aState,
+                                     const wire::entry_pulse_msg& aHeartbeat)
+{
+  aState.mHeartbeatReceived = true;
+  aState.mConfigVersion = aHeartbeat.config_version;
+  aState.mRequestsConfig = aHeartbeat.requests_config;
+  if (aState.mRequestsConfig) {
+    mConfigFetcher.Announce(aPeer, aState.mConfigVersion);
+  }
+  mCoordinator.OnEvacuations(
+    DecodeEvacuations(aHeartbeat.evacuating.get(), Now()), Now());
+  AddEntries(aHeartbeat.entries, aState.mAddress, Now());
+}
+
+void
+coordinator_daemon::OnConfigRequest(peer_id aPeer,
+                                    const entry_peer& aState,
+                                    const wire::config_request_msg& aRequest)
+{
+  std::optional<wire::config_part_msg> part =
+    mConfigProvider.Reply(aPeer, aRequest, mConfig);
+  if (!part) {
+    return;
+  }
+  mCopies.mSentBytes += part->text.size();
+  if (part->offset == 0) {
+    mCopies.mSent++;
+    mLog.Emit(event_code::ConfigCopySent,
+              { { "peer", aState.mAddress },
+                { "peer_version", std::to_string(aState.mConfigVersion) },
+                { "version", std::to_string(part->version) },
+                { "bytes", std::to_string(part->size) } });
+  }
+  mTransport->Send(aPeer, MakeMessage(std::move(*part)));
+}
+
+void
+coordinator_daemon::RequestConfig(instant aNow)
+{
+  std::optional<config_fetcher::request> next =
+    mConfigFetcher.NextRequest(mConfig.Version(), aNow);
+  if (next) {
+    mTransport->Send(next->mPeer, MakeMessage(next->mMessage));
+  }
+}
+
+bool
 coordinator_daemon::UpdateConfig(const std::string& aText,
                                  const std::string& aSource)
 {
@@ -242,7 +308,7 @@
   if (!updated.Ok()) {
     mLog.Emit(event_code::ConfigUnreadable,
               { { "text", updated.Error().what() }, { "source", aSource } });
-    return;
+    return false;
   }
   if (updated.Value()) {
     mConfigInstalledAt = Now();
@@ -255,14 +321,18 @@
     RemoveOldRoutes();
     ServeHeldRequests();
   }
+  return true;
 }
 
 void
 coordinator_daemon::OnConfigCopy(const entry_peer& aSender,
+                                 uint64_t aVersion,
                                  const std::string& aText)
 {
   uint64_t before = mConfig.Version();
-  UpdateConfig(aText, "entry");
+  if (!UpdateConfig(aText, "entry")) {
+    mConfigFetcher.Reject(aVersion);
+  }
   bool newer = mConfig.Version() > before;
   mCopies.mReceived++;
   mCopies.mReceivedBytes += aText.size();
@@ -445,8 +515,9 @@
   }
   mNextHeartbeat = aNow + kEntryHeartbeatInterval;
   for (auto& [peer, state] : mEntryPeers) {
-    mTransport->Send(peer,
-                     MakeMessage(MakeHeartbeat(&state.mSentRevision, aNow)));
+    wire::entry_pulse_msg heartbeat = MakeHeartbeat(&state.mSentRevision, aNow);
+    heartbeat.requests_config = true;
+    mTransport->Send(peer, MakeMessage(std::move(heartbeat)));
     SendConfigTo(peer, state, aNow);
   }
 }
@@ -456,7 +527,8 @@
                                  entry_peer& aState,
                                  instant aNow)
 {
-  bool needsCopy = aState.mConfigVersion < mConfig.Version() &&
+  bool needsCopy = aState.mHeartbeatReceived && !aState.mRequestsConfig &&
+                   aState.mConfigVersion < mConfig.Version() &&
                    aState.mSentVersion < mConfig.Version() &&
                    (aState.mConfigVersion == 0 ||
                     aNow - mConfigInstalledAt > kConfigCopyDelay);
@@ -493,8 +565,10 @@
         { "partial_bytes",
           std::to_string(mTransport->PartialBytes(it->first)) } });
     mDirectory.OnDisconnected(it->second.mAddress, aNow);
-    mTransport->Close(it->first);
-    it = mEntryPeers.erase(it);
+    peer_id silent = it->first;
+    ++it;
+    mTransport->Close(silent);
+    RemoveEntryPeer(silent);
   }
 }
 
@@ -517,6 +591,7 @@
     return aAddress > mInstance.PeerAddress();
   });
   SendHeartbeats(now);
+  RequestConfig(now);
   mTransport->Flush();
   mTransport->Sweep();
 }
--- a/shell/coordinator_daemon.h
+++ b/shell/coordinator_daemon.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "cactusmast/caller_codec.h"
+#include "cactusmast/config_exchange.h"
 #include "cactusmast/job_coordinator.h"
 #include "cactusmast/route_config.h"
 #include "cactusmast/startup_queue.h"
@@ -83,15 +84,19 @@
   {
     std::string mAddress;
     instant mLastHeard{};
-    uint64_t mConfigVersion = 0; // in force at the peer; 0: none
-    uint64_t mSentVersion = 0;   // newest configuration sent to it; 0: none
-    uint64_t mSentRevision = 0;  // of the directory, as last sent to it
+    bool mHeartbeatReceived = false;
+    uint64_t mConfigVersion = 0; // in force at the peer; 0: none or not known
+    // Whether it asks for configurations that it lacks; false for releases
+    // that are sent them unasked.
+    bool mRequestsConfig = false;
+    uint64_t mSentVersion = 0;  // newest document sent unasked; 0: none
+    uint64_t mSentRevision = 0; // of the directory, as last sent to it
   };
 
   // Copies of the configuration between entries, since the start.
   struct copy_counters
   {
-    uint64_t mSent = 0;
+    uint64_t mSent = 0; // begun
     uint64_t mSentBytes = 0;
     uint64_t mReceived = 0;
     uint64_t mReceivedBytes = 0;
@@ -147,7 +152,8 @@
   // drain does. Always true unless draining.
   bool EndsWithinDrain(const job_submission& aJob) const;
   bool IsReady() const;
-  void UpdateConfig(const std::string& aText, const std::string& aSource);
+  // False if aText cannot be read.
+  bool UpdateConfig(const std::string& aText, const std::string& aSource);
   // Removes routes that are no longer configured from the timeout model.
   void RemoveOldRoutes();
   void OnOperatorRows(const table_change& aChange);
@@ -167,8 +173,23 @@
   // Sends the list of entries to executors that lack its newest revision.
   void SendEntryList(instant aNow);
   void SendToExecutor(peer_id aExecutor, message aMessage);
+  // Sends the configuration to an entry of an older release that lacks it.
   void SendConfigTo(peer_id aPeer, entry_peer& aState, instant aNow);
-  void OnConfigCopy(const entry_peer& aSender, const std::string& aText);
+  void RemoveEntryPeer(peer_id aPeer);
+  // Asks another entry for the next part of a configuration that is due.
+  void RequestConfig(instant aNow);
+  void OnEntryMessage(peer_id aPeer,
+                      entry_peer& aState,
+                      const message& aMessage);
+  void OnEntryHeartbeat(peer_id aPeer,
+                        entry_peer& aState,
+                        const wire::entry_pulse_msg& aHeartbeat);
+  void OnConfigRequest(peer_id aPeer,
+                       const entry_peer& aState,
+                       const wire::config_request_msg& aRequest);
+  void OnConfigCopy(const entry_peer& aSender,
+                    uint64_t aVersion,
+                    const std::string& aText);
   // The greatest version that this entry or a connected one has in force.
   uint64_t NewestKnownVersion() const;
   void AddConfigMetrics(metrics_page* aPage);
@@ -190,6 +211,8 @@
   std::unique_ptr<http_server> mFront;     // for callers
   std::unique_ptr<http_server> mReadiness; // for the load balancer's probes
   std::map<peer_id, entry_peer> mEntryPeers;
+  config_fetcher mConfigFetcher;
+  config_provider mConfigProvider;
   copy_counters mCopies;
   uint64_t mSilentPeers = 0; // connections closed as silent since the start
   std::map<peer_id, executor_peer> mExecutorPeers;
