A read of the store goes on as long as some of it arrives

What callers would see: 404 for routes that were added, for as long as a document needs more than a second to arrive.

Cause: a read of a table was given up 1 s after it was sent, a wait 1 s after its end, wherever the transfer stood. The next read began with the first byte, so a document that needs longer never arrived, and the attempts filled the link.

The timeout now ends with the headers of the reply, and the body is given up only if nothing of it arrives for 1 s. Other requests, such as starts of tasks, keep their timeout for the whole.

'a table whose rows arrive slowly is read to its end' failed before.

--- a/shell/http_client.cc
+++ b/shell/http_client.cc
@@ -18,11 +18,25 @@
   gobject_ptr<GCancellable> mCancellable;
   guint mTimer = 0;          // source id; 0 without a timeout
   bool mSendStarted = false; // whether sending has begun at least once
+  // The following are used by requests with http_request::mBodyStallMs.
+  uint32_t mBodyStallMs = 0;
+  gobject_ptr<GInputStream> mBodyStream;
+  std::string mBody; // received so far
 };
 
+constexpr gsize kBodyChunkBytes = 64 * 1024;
+
+std::string
+BytesToString(GBytes* aBytes)
+{
+  gsize size = 0;
+  const auto* data = static_cast<const char*>(g_bytes_get_data(aBytes, &size));
+  return std::string(data == nullptr ? "" : data, size);
+}
+
 http_response
 ReadResponse(SoupMessage* aMessage,
-             GBytes* aBody,
+             std::string aBody,
              const GError* aError,
              bool aSendStarted)
 {
@@ -42,9 +56,7 @@
     return response;
   }
   response.mStatus = int(soup_message_get_status(aMessage));
-  gsize size = 0;
-  const auto* data = static_cast<const char*>(g_bytes_get_data(aBody, &size));
-  response.mBody.assign(data == nullptr ? "" : data, size);
+  response.mBody = std::move(aBody);
   const char* runHeader = soup_message_headers_get_one(
     soup_message_get_response_headers(aMessage), "X-Run");
   response.mRunHeader = runHeader == nullptr ? "" : runHeader;
@@ -67,24 +79,96 @@
 }
 
 void
-OnResponse(GObject* aSession, GAsyncResult* aResult, gpointer aData)
+StopTimer(pending_request* aPending)
+{
+  if (aPending->mTimer != 0) {
+    g_source_remove(aPending->mTimer);
+    aPending->mTimer = 0;
+  }
+}
+
+void
+StartTimer(pending_request* aPending, uint32_t aTimeoutMs)
 {
-  std::unique_ptr<pending_request> pending(
-    static_cast<pending_request*>(aData));
-  if (pending->mTimer != 0) {
-    g_source_remove(pending->mTimer);
+  StopTimer(aPending);
+  if (aTimeoutMs > 0) {
+    aPending->mTimer = g_timeout_add(aTimeoutMs, &OnTimeout, aPending);
   }
-  g_signal_handlers_disconnect_by_data(pending->mMessage.get(), pending.get());
+}
+
+// Reports the response, or the fault aError, and frees the request.
+void
+Finish(pending_request* aPending, std::string aBody, const GError* aError)
+{
+  std::unique_ptr<pending_request> pending(aPending);
+  StopTimer(aPending);
+  g_signal_handlers_disconnect_by_data(pending->mMessage.get(), aPending);
+  pending->mCallback(ReadResponse(
+    pending->mMessage.get(), std::move(aBody), aError, pending->mSendStarted));
+}
+
+void
+OnResponse(GObject* aSession, GAsyncResult* aResult, gpointer aData)
+{
   GError* error = nullptr;
   GBytes* body =
     soup_session_send_and_read_finish(SOUP_SESSION(aSession), aResult, &error);
   gerror_ptr errorOwner(error);
-  http_response response =
-    ReadResponse(pending->mMessage.get(), body, error, pending->mSendStarted);
+  std::string text = body == nullptr ? "" : BytesToString(body);
   if (body != nullptr) {
     g_bytes_unref(body);
   }
-  pending->mCallback(response);
+  Finish(static_cast<pending_request*>(aData), std::move(text), error);
+}
+
+void
+OnBodyChunk(GObject* aStream, GAsyncResult* aResult, gpointer aData);
+
+void
+ReadBody(pending_request* aPending)
+{
+  StartTimer(aPending, aPending->mBodyStallMs);
+  g_input_stream_read_bytes_async(aPending->mBodyStream.get(),
+                                  kBodyChunkBytes,
+                                  G_PRIORITY_DEFAULT,
+                                  aPending->mCancellable.get(),
+                                  &OnBodyChunk,
+                                  aPending);
+}
+
+void
+OnBodyChunk(GObject* aStream, GAsyncResult* aResult, gpointer aData)
+{
+  auto* pending = static_cast<pending_request*>(aData);
+  GError* error = nullptr;
+  GBytes* chunk =
+    g_input_stream_read_bytes_finish(G_INPUT_STREAM(aStream), aResult, &error);
+  gerror_ptr errorOwner(error);
+  std::string text = chunk == nullptr ? "" : BytesToString(chunk);
+  if (chunk != nullptr) {
+    g_bytes_unref(chunk);
+  }
+  if (error != nullptr || text.empty()) {
+    Finish(pending, std::move(pending->mBody), error);
+    return;
+  }
+  pending->mBody += text;
+  ReadBody(pending);
+}
+
+void
+OnResponseHeaders(GObject* aSession, GAsyncResult* aResult, gpointer aData)
+{
+  auto* pending = static_cast<pending_request*>(aData);
+  GError* error = nullptr;
+  pending->mBodyStream.reset(
+    soup_session_send_finish(SOUP_SESSION(aSession), aResult, &error));
+  gerror_ptr errorOwner(error);
+  if (error != nullptr) {
+    Finish(pending, "", error);
+    return;
+  }
+  ReadBody(pending);
 }
 
 gobject_ptr<SoupMessage>
@@ -151,15 +235,22 @@
   pending->mCancellable.reset(g_cancellable_new());
   gobject_ptr<GCancellable> handle(
     G_CANCELLABLE(g_object_ref(pending->mCancellable.get())));
-  uint32_t timeoutMs =
-    aRequest.mTimeoutMs > 0 ? aRequest.mTimeoutMs : mTimeoutMs;
-  if (timeoutMs > 0) {
-    pending->mTimer = g_timeout_add(timeoutMs, &OnTimeout, pending.get());
-  }
+  pending->mBodyStallMs = aRequest.mBodyStallMs;
+  StartTimer(pending.get(),
+             aRequest.mTimeoutMs > 0 ? aRequest.mTimeoutMs : mTimeoutMs);
   SoupMessage* message = pending->mMessage.get();
   g_signal_connect_swapped(
     message, "starting", G_CALLBACK(&OnStarting), pending.get());
   GCancellable* cancellable = pending->mCancellable.get();
+  if (pending->mBodyStallMs > 0) {
+    soup_session_send_async(mSession.get(),
+                            message,
+                            G_PRIORITY_DEFAULT,
+                            cancellable,
+                            &OnResponseHeaders,
+                            pending.release());
+    return handle;
+  }
   soup_session_send_and_read_async(mSession.get(),
                                    message,
                                    G_PRIORITY_DEFAULT,
@@ -185,11 +276,11 @@
   GBytes* body =
     soup_session_send_and_read(session.get(), message.get(), nullptr, &error);
   gerror_ptr errorOwner(error);
-  http_response response = ReadResponse(message.get(), body, error, false);
+  std::string text = body == nullptr ? "" : BytesToString(body);
   if (body != nullptr) {
     g_bytes_unref(body);
   }
-  return response;
+  return ReadResponse(message.get(), std::move(text), error, false);
 }
 
 } // namespace cactusmast
--- a/shell/http_client.h
+++ b/shell/http_client.h
@@ -36,6 +36,9 @@
   // request is reported as broken, idempotent or not.
   bool mIdempotent = false;
   uint32_t mTimeoutMs = 0; // 0: the client's timeout applies
+  // If not 0, the timeout ends with the headers of the response, and its body
+  // may take any time as long as some of it arrives within each mBodyStallMs.
+  uint32_t mBodyStallMs = 0;
 };
 
 struct http_response
