A table that the store returns in pages is read whole

What callers would see: after a restart, tasks that start in a data centre that is being evacuated.

Cause: a reply to a read holds 1 MB at most and says that there is more. The configuration comes before the evacuations in their table, so a long one fills the first page by itself. Executors that read the table themselves got no state at all.

Pages are followed to the end. The result has the version of the first page, so what changed between two pages is waited for, and perhaps seen twice.

--- a/cactusmast/stored_row.cc
+++ b/cactusmast/stored_row.cc
@@ -23,7 +23,7 @@
 {
   auto onReply = [this, handler = std::move(aOnLoaded)](
                    const store_reply& aReply) { OnLoaded(aReply, handler); };
-  mStore.ReadPartition(mPlace.mTable, mPlace.mPartition, onReply);
+  mStore.ReadPartition(mPlace.mTable, mPlace.mPartition, {}, onReply);
 }
 
 void
--- a/cactusmast/table_watcher.cc
+++ b/cactusmast/table_watcher.cc
@@ -46,8 +46,9 @@
         OnReply(aReply, false);
       });
   } else {
-    mStore.ReadPartition(
-      mTable, "", [this](const store_reply& aReply) { OnReply(aReply, true); });
+    mStore.ReadPartition(mTable, "", {}, [this](const store_reply& aReply) {
+      OnReply(aReply, true);
+    });
   }
 }
 
@@ -60,7 +61,7 @@
     mNextRequest = mNow + mBackoff;
     mBackoff = std::min(kMaxBackoff, mBackoff * 2);
     // A snapshot is read after any fault: a wait that got no reply may have
-    // missed changes, and this costs only one small read.
+    // missed changes.
     mHaveVersion = false;
     if (mAvailable && aReply.mStatus == store_status::Unavailable) {
       mAvailable = false;
@@ -79,7 +80,7 @@
   mStoreHasReplied = true;
   mBackoff = kMinBackoff;
   mNextRequest = mNow;
-  mOnChange({ aReply.mRows, aReply.mVersion, aIsSnapshot && !aReply.mHasMore });
+  mOnChange({ aReply.mRows, aReply.mVersion, aIsSnapshot });
   // A snapshot may be older than what was read before. Continuing from its
   // version repeats changes but misses none.
   mVersion =
--- a/cactusmast/table_watcher.h
+++ b/cactusmast/table_watcher.h
@@ -41,11 +41,17 @@
 {
   store_status mStatus = store_status::Unavailable;
   std::vector<store_row> mRows;
-  uint64_t mVersion = 0; // of the store at the time of the reply
-  bool mHasMore = false; // the partition has rows beyond those in mRows
+  uint64_t mVersion = 0; // of the store when the rows were read
   std::string mText;     // describes the fault; empty for Ok
 };
 
+// Keys in ascending byte order. An empty bound stands for none.
+struct key_range
+{
+  std::string mFrom;
+  std::string mTo; // not in the range
+};
+
 // What a table_watcher passes to its handler.
 struct table_change
 {
@@ -61,10 +67,12 @@
 public:
   using callback = std::function<void(const store_reply&)>;
   virtual ~metadata_store() = default;
-  // Reads one partition of a table; most tables have only the one whose name
-  // is empty.
+  // Reads the rows of aKeys in one partition of a table; most tables have only
+  // the one whose name is empty. The rows may not all be of the same moment:
+  // each change after the reply's version may or may not be in them.
   virtual void ReadPartition(const std::string& aTable,
                              const std::string& aPart,
+                             const key_range& aKeys,
                              callback aDone) = 0;
   // Replies as soon as a row has changed after aVersion, and after aWaitMs at
   // the latest.
--- a/cactusmast/testing/instance_parts_test.cc
+++ b/cactusmast/testing/instance_parts_test.cc
@@ -27,6 +27,7 @@
 public:
   void ReadPartition(const std::string&,
                      const std::string&,
+                     const key_range&,
                      callback aDone) override
   {
     mReads++;
--- a/cactusmast/testing/server_record_test.cc
+++ b/cactusmast/testing/server_record_test.cc
@@ -31,6 +31,7 @@
 public:
   void ReadPartition(const std::string&,
                      const std::string& aPart,
+                     const key_range&,
                      callback aDone) override
   {
     store_reply reply = MakeReply();
--- a/shell/executor_daemon.cc
+++ b/shell/executor_daemon.cc
@@ -213,7 +213,7 @@
   mReadingEntries = true;
   mNextEntriesRead = aNow + kReadEntriesInterval;
   mAdapter.mStore.ReadPartition(
-    mAdapter.mEntryTable, "", [this](const store_reply& aReply) {
+    mAdapter.mEntryTable, "", {}, [this](const store_reply& aReply) {
       mReadingEntries = false;
       std::vector<std::string> addresses;
       for (const store_row& row : aReply.mRows) {
@@ -235,9 +235,9 @@
   mReadingEvacuations = true;
   mNextEvacuationsRead = aNow + kReadEvacuationsInterval;
   mAdapter.mStore.ReadPartition(
-    mAdapter.mConfigTable, "", [this](const store_reply& aReply) {
+    mAdapter.mConfigTable, "", {}, [this](const store_reply& aReply) {
       mReadingEvacuations = false;
-      if (aReply.mStatus == store_status::Ok && !aReply.mHasMore) {
+      if (aReply.mStatus == store_status::Ok) {
         instant now = Now();
         const evacuation_state& read =
           mEvacuationRows.Apply({ aReply.mRows, aReply.mVersion, true });
