--- a/cactusmast/evacuation.h
+++ b/cactusmast/evacuation.h
@@ -53,6 +53,8 @@
 {
 public:
   virtual ~evacuation_codec() = default;
+  // Where such rows are in their table.
+  virtual key_range Keys() const = 0;
   // The data centre whose evacuation the row at aKey declares; none for any
   // other row.
   virtual std::optional<std::string> DataCenterOf(
--- a/cactusmast/testing/evacuation_test.cc
+++ b/cactusmast/testing/evacuation_test.cc
@@ -15,6 +15,7 @@
 class test_codec : public evacuation_codec
 {
 public:
+  key_range Keys() const override { return { "out/", "out0" }; }
   std::optional<std::string> DataCenterOf(
     const std::string& aKey) const override
   {
--- a/shell/executor_daemon.cc
+++ b/shell/executor_daemon.cc
@@ -234,8 +234,13 @@
   }
   mReadingEvacuations = true;
   mNextEvacuationsRead = aNow + kReadEvacuationsInterval;
+  // Only their rows: the configuration in the same table may be long, and many
+  // executors read at once.
   mAdapter.mStore.ReadPartition(
-    mAdapter.mConfigTable, "", {}, [this](const store_reply& aReply) {
+    mAdapter.mConfigTable,
+    "",
+    mAdapter.mEvacuations.Keys(),
+    [this](const store_reply& aReply) {
       mReadingEvacuations = false;
       if (aReply.mStatus == store_status::Ok) {
         instant now = Now();
