The product's entries send a configuration once, not with each status

What operators would see: entries and guards that time out after a change of a long configuration, over links that carry it for more than a second.

Cause: an entry that reported an older version than it had been sent counted as one that had lost the document, so each of its status messages, one a second, brought another whole copy while the first was on its way.

The document is taken for lost after 5 s. A connection delivers what it was given or ends, and a new one starts afresh, so nothing waits for this.

--- a/cactusmast/entry_membership.cc
+++ b/cactusmast/entry_membership.cc
@@ -18,6 +18,9 @@
 constexpr milliseconds kRosterInterval{ 200 };   // between writes of a roster
 constexpr milliseconds kEntriesInterval{ 5000 }; // between reads of the rows
 constexpr milliseconds kConnectInterval{ 1000 }; // between connection attempts
+// Until a document that an entry was sent is taken for lost. A long one needs
+// seconds on a thin link.
+constexpr milliseconds kRepushInterval{ 5000 };
 
 // The row of a roster lists the workers of a shard that may hold records.
 constexpr char kRosterPrefix[] = "roster/";
@@ -335,8 +338,9 @@
     shard_row& shard = Shard(owned.shard);
     shard.mMaxEpoch = std::max(shard.mMaxEpoch, owned.epoch);
   }
-  if (aStatus.config_version < row.mPushedVersion) {
-    // The peer has restarted or the document was lost, so it is sent again.
+  bool overdue = aNow - row.mPushedAt >= kRepushInterval;
+  if (aStatus.config_version < row.mPushedVersion && overdue) {
+    // The document had no effect, so it is sent again.
     row.mPushedVersion = aStatus.config_version;
   }
   PushConfig(aPeer);
--- a/cactusmast/entry_node.cc
+++ b/cactusmast/entry_node.cc
@@ -272,6 +272,7 @@
     return;
   }
   row.mPushedVersion = version;
+  row.mPushedAt = mNow;
   wire::config_push_msg push;
   push.version = version;
   push.document = mConfig.Document();
--- a/cactusmast/entry_node.h
+++ b/cactusmast/entry_node.h
@@ -211,6 +211,7 @@
     wire::worker_state_msg mWorker;
     bool mWorkerKnown = false;
     uint64_t mPushedVersion = 0; // of the last document sent to it; 0: none
+    instant mPushedAt{};         // when it was sent
   };
 
   struct shard_row
