One base for the product's daemons; one function for what is left at the exit

entry_daemon and guard_daemon had the same OnBeforeExit, OutputPending and OnExit and the same members for them; the coordinator and the executor the same pair of calls. No behaviour changes.

--- a/shell/connection_log.cc
+++ b/shell/connection_log.cc
@@ -57,17 +57,17 @@
 }
 
 void
-AddConnectionFields(const http_server& aServer,
-                    std::vector<event_field>* aFields)
+ReportAtExit(http_server* aServer, std::vector<event_field>* aFields)
 {
+  aServer->ReportUnsent(kMaxReportedAtExit);
   aFields->push_back(
-    { "open_requests", std::to_string(aServer.OpenExchanges()) });
+    { "open_requests", std::to_string(aServer->OpenExchanges()) });
   aFields->push_back(
-    { "unsent_answers", std::to_string(aServer.UnsentAnswers()) });
+    { "unsent_answers", std::to_string(aServer->UnsentAnswers()) });
   aFields->push_back(
-    { "connections", std::to_string(aServer.OpenConnections()) });
+    { "connections", std::to_string(aServer->OpenConnections()) });
   aFields->push_back(
-    { "abandoned", std::to_string(aServer.AbandonedConnections()) });
+    { "abandoned", std::to_string(aServer->AbandonedConnections()) });
 }
 
 void
--- a/shell/connection_log.h
+++ b/shell/connection_log.h
@@ -38,10 +38,10 @@
   field_adder mAddDrainTime;
 };
 
-// Adds the state of aServer's connections to the line of the exit.
+// Reports the answers that aServer leaves unsent at the exit, and adds the
+// state of its connections to the line of the exit.
 void
-AddConnectionFields(const http_server& aServer,
-                    std::vector<event_field>* aFields);
+ReportAtExit(http_server* aServer, std::vector<event_field>* aFields);
 
 // Adds the counts of aServer's connections.
 void
--- a/shell/coordinator_daemon.cc
+++ b/shell/coordinator_daemon.cc
@@ -649,8 +649,7 @@
 void
 coordinator_daemon::OnExit(std::vector<event_field>* aFields)
 {
-  mFront->ReportUnsent(kMaxReportedAtExit);
-  AddConnectionFields(*mFront, aFields);
+  ReportAtExit(mFront.get(), aFields);
 }
 
 // First on the page, because some readers cut it.
--- a/shell/entry_daemon.cc
+++ b/shell/entry_daemon.cc
@@ -47,8 +47,8 @@
 } // namespace
 
 entry_daemon::entry_daemon(const entry_settings& aSettings)
-  : mSettings(aSettings)
-  , mLog(aSettings.mProcess.mName, severity::Warning)
+  : product_daemon(aSettings.mProcess.mName, severity::Warning)
+  , mSettings(aSettings)
   , mIncarnation(MakeIncarnation())
   , mTable(aSettings.mProcess.mTableUrl,
            aSettings.mProcess.mTableTimeoutMs,
@@ -56,9 +56,6 @@
              OnTableReply(aReply);
              TickSoon();
            })
-  , mConnectionLog(mLog, [this](std::vector<event_field>* aFields) {
-    AddDrainTime(aFields);
-  })
 {
 }
 
@@ -164,27 +161,7 @@
 bool
 entry_daemon::IsDrained()
 {
-  return mNode->IsDrained() && mHttp->OpenExchanges() == 0 &&
-         mHttp->UnsentAnswers() == 0 && !mTransport->OutputPending();
-}
-
-void
-entry_daemon::OnExit(std::vector<event_field>* aFields)
-{
-  mHttp->ReportUnsent(kMaxReportedAtExit);
-  AddConnectionFields(*mHttp, aFields);
-}
-
-void
-entry_daemon::OnBeforeExit()
-{
-  mHttp->StopAccepting();
-}
-
-bool
-entry_daemon::OutputPending() const
-{
-  return mHttp->UnsentAnswers() > 0 || mTransport->OutputPending();
+  return mNode->IsDrained() && mHttp->OpenExchanges() == 0 && !OutputPending();
 }
 
 void
--- a/shell/entry_daemon.h
+++ b/shell/entry_daemon.h
@@ -9,19 +9,14 @@
 
 #include "cactusmast/entry_node.h"
 #include "cactusmast/settings.h"
-#include "shell/connection_log.h"
-#include "shell/daemon.h"
-#include "shell/http_server.h"
-#include "shell/log_sink.h"
-#include "shell/peer_transport.h"
+#include "shell/product_daemon.h"
 #include "shell/table_client.h"
 
 namespace cactusmast {
 
 // Serves the HTTP API, and connects the entry_node to its peers and the table.
 class entry_daemon
-  : public daemon_loop
-  , public transport_listener
+  : public product_daemon
   , public caller_port
   , public random_source
 {
@@ -44,10 +39,6 @@
   void OnDrain() override;
   bool IsDrained() override;
   void OnAbort() override;
-  void OnBeforeExit() override;
-  bool OutputPending() const override;
-  event_sink* Events() override { return &mLog; }
-  void OnExit(std::vector<event_field>* aFields) override;
 
 private:
   // How the answer to an open exchange is to be rendered.
@@ -99,12 +90,8 @@
   http_answer Metrics() const;
 
   entry_settings mSettings;
-  log_sink mLog;
   uint64_t mIncarnation;
-  std::unique_ptr<peer_transport> mTransport;
   table_client mTable;
-  connection_log mConnectionLog;
-  std::unique_ptr<http_server> mHttp;
   std::unique_ptr<entry_node> mNode;
   std::map<uint64_t, open_request> mOpenRequests; // by exchange
   std::map<uint64_t, audit_read> mAuditReads;     // by table request
--- a/shell/executor_daemon.cc
+++ b/shell/executor_daemon.cc
@@ -307,8 +307,7 @@
 void
 executor_daemon::OnExit(std::vector<event_field>* aFields)
 {
-  mControl->ReportUnsent(kMaxReportedAtExit);
-  AddConnectionFields(*mControl, aFields);
+  ReportAtExit(mControl.get(), aFields);
 }
 
 void
--- a/shell/guard_daemon.cc
+++ b/shell/guard_daemon.cc
@@ -68,8 +68,8 @@
 } // namespace
 
 guard_daemon::guard_daemon(const guard_settings& aSettings)
-  : mSettings(aSettings)
-  , mLog(aSettings.mProcess.mName, severity::Info)
+  : product_daemon(aSettings.mProcess.mName, severity::Info)
+  , mSettings(aSettings)
   , mTable(aSettings.mProcess.mTableUrl,
            aSettings.mProcess.mTableTimeoutMs,
            [this](const table_reply& aReply) {
@@ -80,9 +80,6 @@
     mNode->OnTaskEnded(aCompletion, Now());
     TickSoon();
   })
-  , mConnectionLog(mLog, [this](std::vector<event_field>* aFields) {
-    AddDrainTime(aFields);
-  })
 {
 }
 
@@ -182,25 +179,6 @@
   return mNode->IsDrained() && !mTransport->OutputPending();
 }
 
-void
-guard_daemon::OnExit(std::vector<event_field>* aFields)
-{
-  mHttp->ReportUnsent(kMaxReportedAtExit);
-  AddConnectionFields(*mHttp, aFields);
-}
-
-void
-guard_daemon::OnBeforeExit()
-{
-  mHttp->StopAccepting();
-}
-
-bool
-guard_daemon::OutputPending() const
-{
-  return mHttp->UnsentAnswers() > 0 || mTransport->OutputPending();
-}
-
 void
 guard_daemon::OnAbort()
 {
--- a/shell/guard_daemon.h
+++ b/shell/guard_daemon.h
@@ -9,20 +9,14 @@
 #include "cactusmast/guard_node.h"
 #include "cactusmast/settings.h"
 #include "shell/backend_client.h"
-#include "shell/connection_log.h"
-#include "shell/daemon.h"
-#include "shell/http_server.h"
-#include "shell/log_sink.h"
-#include "shell/peer_transport.h"
+#include "shell/product_daemon.h"
 #include "shell/table_client.h"
 
 namespace cactusmast {
 
 // Connects the guard_node to entries, the table and the backend server, and
 // serves status, metrics and drain requests over HTTP.
-class guard_daemon
-  : public daemon_loop
-  , public transport_listener
+class guard_daemon : public product_daemon
 {
 public:
   // Errors: an address that cannot be listened on.
@@ -38,10 +32,6 @@
   void OnDrain() override;
   bool IsDrained() override;
   void OnAbort() override;
-  void OnBeforeExit() override;
-  bool OutputPending() const override;
-  event_sink* Events() override { return &mLog; }
-  void OnExit(std::vector<event_field>* aFields) override;
 
 private:
   explicit guard_daemon(const guard_settings& aSettings);
@@ -52,12 +42,8 @@
   http_answer Metrics() const;
 
   guard_settings mSettings;
-  log_sink mLog;
-  std::unique_ptr<peer_transport> mTransport;
   table_client mTable;
   backend_client mBackend;
-  connection_log mConnectionLog;
-  std::unique_ptr<http_server> mHttp;
   std::unique_ptr<guard_node> mNode;
 };
 
