--- a/shell/testing/http_server_test.cc
+++ b/shell/testing/http_server_test.cc
@@ -73,21 +73,7 @@
 void
 RunUntilWritten(const http_server& aServer)
 {
-  gint64 end = g_get_monotonic_time() + 5 * G_USEC_PER_SEC;
-  while (aServer.UnsentAnswers() > 0 && g_get_monotonic_time() < end) {
-    g_main_context_iteration(nullptr, FALSE);
-  }
-  CHECK(aServer.UnsentAnswers() == 0);
-}
-
-// Runs the main loop for aMs.
-void
-RunLoopFor(int64_t aMs)
-{
-  gint64 end = g_get_monotonic_time() + aMs * 1000;
-  while (g_get_monotonic_time() < end) {
-    g_main_context_iteration(nullptr, FALSE);
-  }
+  RunLoopUntil([&] { return aServer.UnsentAnswers() == 0; });
 }
 
 // Returns a new connection over which kRequest was sent.
@@ -99,27 +85,37 @@
   return fd;
 }
 
-// Runs the main loop until aCount answers have arrived on the connection, for
-// at most 5 seconds.
+// Appends what has arrived on the connection. True once its end has arrived.
+bool
+Receive(int aFd, std::string* aReceived)
+{
+  char chunk[4096];
+  ssize_t size = recv(aFd, chunk, sizeof chunk, MSG_DONTWAIT);
+  aReceived->append(chunk, size > 0 ? size_t(size) : 0);
+  return size == 0;
+}
+
+size_t
+Occurrences(const std::string& aText, std::string_view aWord)
+{
+  size_t count = 0;
+  for (size_t at = aText.find(aWord); at != std::string::npos;
+       at = aText.find(aWord, at + 1)) {
+    count++;
+  }
+  return count;
+}
+
+// Runs the main loop until aCount answers have arrived on the connection.
 void
 ExpectAnswers(int aFd, size_t aCount)
 {
-  constexpr std::string_view kStatusLine = "HTTP/1.1 200";
   std::string received;
-  gint64 end = g_get_monotonic_time() + 5 * G_USEC_PER_SEC;
-  size_t answers = 0;
-  while (answers < aCount && g_get_monotonic_time() < end) {
-    g_main_context_iteration(nullptr, FALSE);
-    char chunk[4096];
-    ssize_t size = recv(aFd, chunk, sizeof chunk, MSG_DONTWAIT);
-    received.append(chunk, size > 0 ? size_t(size) : 0);
-    answers = 0;
-    for (size_t at = received.find(kStatusLine); at != std::string::npos;
-         at = received.find(kStatusLine, at + 1)) {
-      answers++;
-    }
-  }
-  CHECK(answers == aCount);
+  RunLoopUntil([&] {
+    Receive(aFd, &received);
+    return Occurrences(received, "HTTP/1.1 200") >= aCount;
+  });
+  CHECK(Occurrences(received, "HTTP/1.1 200") == aCount);
 }
 
 // Runs the main loop until the client has read all that comes, which must be
@@ -128,16 +124,7 @@
 ExpectRefusalAndEnd(int aFd)
 {
   std::string received;
-  bool ended = false;
-  gint64 end = g_get_monotonic_time() + 5 * G_USEC_PER_SEC;
-  while (!ended && g_get_monotonic_time() < end) {
-    g_main_context_iteration(nullptr, FALSE);
-    char chunk[4096];
-    ssize_t size = recv(aFd, chunk, sizeof chunk, MSG_DONTWAIT);
-    ended = size == 0;
-    received.append(chunk, size > 0 ? size_t(size) : 0);
-  }
-  CHECK(ended);
+  RunLoopUntil([&] { return Receive(aFd, &received); });
   CHECK(received.rfind("HTTP/1.1 503 ", 0) == 0);
   CHECK(received.find("\r\nRetry-After: 1\r\n") != std::string::npos);
   CHECK(received.find("\r\nContent-Length: 2\r\n") != std::string::npos);
@@ -148,11 +135,8 @@
 void
 RunUntilNoConnection(const http_server& aServer)
 {
-  gint64 end = g_get_monotonic_time() + 10 * G_USEC_PER_SEC;
-  while (aServer.OpenConnections() > 0 && g_get_monotonic_time() < end) {
-    g_main_context_iteration(nullptr, TRUE);
-  }
-  CHECK(aServer.OpenConnections() == 0);
+  constexpr int64_t kMaxMs = 10000;
+  RunLoopUntil([&] { return aServer.OpenConnections() == 0; }, kMaxMs);
 }
 
 // The number of descriptors that the main loop polls in each turn.
@@ -288,9 +272,7 @@
   Send(partial,
        "PUT /job HTTP/1.1\r\nHost: a.example\r\nContent-Length: 2\r\n\r\n");
   int waiting = SendRequest(server.mPort);
-  while (pendingId == 0) {
-    g_main_context_iteration(nullptr, FALSE);
-  }
+  RunLoopUntil([&] { return pendingId != 0; });
   Send(sending, kGetRequest); // not read yet
   server.mServer->CloseIdle(kNoMinIdle, kRefusal);
   ExpectAnswers(sending, 1);
@@ -527,9 +509,7 @@
   RunUntilWritten(*server.mServer);
   CHECK(server.mServer->OpenConnections() == 1);
   Send(client, "GET / HTTP/1.1\r\nHost: a.example\r\n\r\n");
-  while (pendingId == 0) {
-    g_main_context_iteration(nullptr, FALSE);
-  }
+  RunLoopUntil([&] { return pendingId != 0; });
   http_answer last;
   last.mCloseConnection = true;
   server.mServer->Answer(pendingId, last);
@@ -559,13 +539,10 @@
   SUBCASE("it reads all")
   {
     std::vector<char> chunk(1u << 20);
-    gint64 end = g_get_monotonic_time() + 5 * G_USEC_PER_SEC;
-    while (server.mServer->UnsentAnswers() > 0 &&
-           g_get_monotonic_time() < end) {
+    RunLoopUntil([&] {
       recv(client, chunk.data(), chunk.size(), MSG_DONTWAIT);
-      g_main_context_iteration(nullptr, FALSE);
-    }
-    CHECK(server.mServer->UnsentAnswers() == 0);
+      return server.mServer->UnsentAnswers() == 0;
+    });
     CHECK(observer.mNotSent.empty());
     close(client);
   }
--- a/shell/testing/loopback.cc
+++ b/shell/testing/loopback.cc
@@ -25,15 +25,32 @@
 }
 
 void
-RunLoopUntil(const bool& aDone)
+RunLoopUntil(const std::function<bool()>& aDone, int64_t aMaxMs)
 {
-  gint64 deadline = g_get_monotonic_time() + 5 * G_USEC_PER_SEC;
-  while (!aDone && g_get_monotonic_time() < deadline) {
+  gint64 deadline = g_get_monotonic_time() + aMaxMs * 1000;
+  bool done = aDone();
+  while (!done && g_get_monotonic_time() < deadline) {
     if (!g_main_context_iteration(nullptr, FALSE)) {
       g_usleep(200);
     }
+    done = aDone();
+  }
+  REQUIRE(done);
+}
+
+void
+RunLoopUntil(const bool& aDone)
+{
+  RunLoopUntil([&aDone] { return aDone; });
+}
+
+void
+RunLoopFor(int64_t aMs)
+{
+  gint64 end = g_get_monotonic_time() + aMs * 1000;
+  while (g_get_monotonic_time() < end) {
+    g_main_context_iteration(nullptr, FALSE);
   }
-  REQUIRE(aDone);
 }
 
 } // namespace cactusmast::testing
--- a/shell/testing/loopback.h
+++ b/shell/testing/loopback.h
@@ -4,6 +4,7 @@
 #ifndef SHELL_TESTING_LOOPBACK_H_
 #define SHELL_TESTING_LOOPBACK_H_
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -25,10 +26,18 @@
   http_server::handler aHandler,
   http_server::disconnect_handler aOnDisconnect = [](uint64_t) {});
 
-// Runs the main loop until aDone is true. The test fails after 5 seconds.
+// Runs the main loop until aDone() is true. The test fails after aMaxMs.
+void
+RunLoopUntil(const std::function<bool()>& aDone, int64_t aMaxMs = 5000);
+
+// The same for a variable.
 void
 RunLoopUntil(const bool& aDone);
 
+// Runs the main loop for aMs.
+void
+RunLoopFor(int64_t aMs);
+
 } // namespace cactusmast::testing
 
 #endif // SHELL_TESTING_LOOPBACK_H_
