--- a/cactusmast/testing/config_exchange_test.cc
+++ b/cactusmast/testing/config_exchange_test.cc
@@ -220,8 +220,7 @@
 
 TEST_CASE("a version that cannot be read is not requested again")
 {
-  // Guards against an entry of an older release that copies a document of a
-  // newer one without end.
+  // Guards against an older release that copies a newer document without end.
   seeded_random random(1);
   config_fetcher fetcher(random);
   fetcher.Announce(1, 7);
