--- a/cactusmast/instance_settings.cc
+++ b/cactusmast/instance_settings.cc
@@ -58,6 +58,12 @@
       ReadInstance(aReader, aFile, &aOut->mInstance);
       aReader.Address("front", true, &aOut->mFront);
       aReader.Address("readiness", true, &aOut->mReadiness);
+      aReader.Flag("route_shares", &aOut->mOverload.mRouteShares);
+      aReader.Number(
+        "guaranteed_percent", 0, 30, &aOut->mOverload.mGuaranteedPercent);
+      aReader.Flag("late_deferral", &aOut->mOverload.mLateDeferral);
+      aReader.Flag("job_forwarding", &aOut->mJobForwarding);
+      aReader.Cores("processors", &aOut->mProcessorMillis);
     });
 }
 
--- a/cactusmast/instance_settings.h
+++ b/cactusmast/instance_settings.h
@@ -39,11 +39,31 @@
   std::string AddressAt(const std::string& aHost) const;
 };
 
+// What an entry does when processors of the backend servers are short. Each
+// part is off unless the settings ask for it.
+struct overload_settings
+{
+  // Whether scarce capacity is shared between the routes of a service by their
+  // priority.
+  bool mRouteShares = false;
+  // With mRouteShares: share of the capacity that no route with that much
+  // demand is pushed below.
+  uint32_t mGuaranteedPercent = 0;
+  // Whether jobs that can only be late may wait for spare capacity.
+  bool mLateDeferral = false;
+};
+
 struct coordinator_settings
 {
   instance_settings mInstance;
   std::string mFront;     // HOST:PORT for callers
   std::string mReadiness; // HOST:PORT for readiness checks by the load balancer
+  overload_settings mOverload;
+  // Whether this entry, when overloaded, hands new jobs to larger entries, and
+  // takes such jobs.
+  bool mJobForwarding = false;
+  // Thousandths of a core that the instance has; 0: not known.
+  uint32_t mProcessorMillis = 0;
 };
 
 struct executor_settings
--- a/cactusmast/mechanisms.cc
+++ b/cactusmast/mechanisms.cc
@@ -9,8 +9,9 @@
 constexpr std::array<std::string_view, size_t(mechanism::Count)> kMechanisms = {
   "hold_at_start",   "wait_forecasts", "timely_first",  "late_refused",
   "slow_task_moves", "scarcity_price", "stuck_limit",   "executor_subset",
-  "server_recall",   "early_return",   "learned_speed", "illness_noticed",
-  "report_spacing"
+  "shared_demand",   "route_shares",   "late_deferral", "job_forwarding",
+  "server_recall",   "early_return",   "learned_speed", "outlier_speeds",
+  "illness_noticed", "report_spacing"
 };
 
 } // namespace
--- a/cactusmast/mechanisms.h
+++ b/cactusmast/mechanisms.h
@@ -28,12 +28,17 @@
   StuckLimit,     // limits the unplaced steps tried at a time
                   // (kMaxUnplacedSteps)
   ExecutorSubset, // tasks are placed on a subset of the executors
+  SharedDemand,   // entries tell each other what is asked of them by route
+  RouteShares,    // scarce capacity is shared between routes by priority
+  LateDeferral,   // jobs that can only be late may wait for spare capacity
+  JobForwarding,  // an overloaded entry hands new jobs to other entries
 
   // At executors.
   ServerRecall,   // a restarted executor restores its backend server from the
                   // store
   EarlyReturn,    // a task that cannot start in time is returned at once
   LearnedSpeed,   // the backend server's speed is estimated from ended tasks
+  OutlierSpeeds,  // single tasks far longer than declared do not count for it
   IllnessNoticed, // a backend server that fails every task is quarantined
   ReportSpacing,  // changes are batched before they are reported
   Count
--- a/cactusmast/settings_reader.h
+++ b/cactusmast/settings_reader.h
@@ -99,6 +99,36 @@
     *aOut = uint32_t(number);
   }
 
+  // An optional "on" or "off".
+  void Flag(const std::string& aKey, bool* aOut)
+  {
+    YAML::Node value = Find(aKey, false);
+    if (!value.IsDefined()) {
+      return;
+    }
+    if (!value.IsScalar() ||
+        (value.Scalar() != "on" && value.Scalar() != "off")) {
+      throw ErrorAt(value, aKey, "must be on or off");
+    }
+    *aOut = value.Scalar() == "on";
+  }
+
+  // An optional number of cores, which may be a fraction, in thousandths.
+  void Cores(const std::string& aKey, uint32_t* aOutMillis)
+  {
+    constexpr double kMaxCores = 1024;
+    YAML::Node value = Find(aKey, false);
+    if (!value.IsDefined()) {
+      return;
+    }
+    double cores = 0;
+    if (!value.IsScalar() || !YAML::convert<double>::decode(value, cores) ||
+        !(cores > 0 && cores <= kMaxCores)) {
+      throw ErrorAt(value, aKey, "must be a number of cores up to 1024");
+    }
+    *aOutMillis = uint32_t(cores * 1000);
+  }
+
   // An optional mapping of names to bearer tokens.
   void Tokens(const std::string& aKey, std::map<std::string, std::string>* aOut)
   {
--- a/cactusmast/testing/instance_parts_test.cc
+++ b/cactusmast/testing/instance_parts_test.cc
@@ -308,6 +308,7 @@
     substitute("{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}", "\"10.1.0.13:8166\"");
     substitute("{{portRange.0}}", "7720");
     substitute("{{bounds.graceS}}", "6");
+    substitute("{{limits.cpuShare}}", "0.25");
     for (const char* address : { "platform.address",
                                  "listen.front",
                                  "listen.readiness",
@@ -326,11 +327,26 @@
   CHECK(coordinator.Value().mInstance.SeedAddresses() ==
         std::vector<std::string>{ "10.1.0.13:7720" });
   CHECK(coordinator.Value().mInstance.mStopWithinMs == 6000);
+  CHECK(coordinator.Value().mProcessorMillis == 250);
   auto executor =
     ReadExecutorSettings(fillTemplate("deploy/executor.yaml"), "executor.yaml");
   REQUIRE(executor.Ok());
   CHECK(!ReadExecutorSettings("role: executor\nname: x\n", "f").Ok());
 
+  // The settings of overload are read, and refused where they are not valid.
+  std::string entry = fillTemplate("deploy/coordinator.yaml");
+  auto overload = ReadCoordinatorSettings(
+    entry + "route_shares: on\nguaranteed_percent: 10\nlate_deferral: on\n",
+    "f");
+  REQUIRE(overload.Ok());
+  CHECK(overload.Value().mOverload.mRouteShares);
+  CHECK(overload.Value().mOverload.mGuaranteedPercent == 10);
+  CHECK(overload.Value().mOverload.mLateDeferral);
+  for (const char* invalid :
+       { "route_shares: yes please\n", "guaranteed_percent: 31\n" }) {
+    CHECK(!ReadCoordinatorSettings(entry + invalid, "f").Ok());
+  }
+
   std::string text = fillTemplate("deploy/executor.yaml");
   auto reduced = ReadExecutorSettings(
     text + "switched_off: [early_return, learned_speed]\n", "f");
