Demand by route, measured at each entry and known from the others

Cause: each entry decides alone; none knows what is asked of the others, so neither shares nor limits can hold across entries. Change: route_demand (demand_meter, demand_board) and its use in job_coordinator: own demand is measured when a job is admitted, loads of other entries are taken by sequence number and decay with age. Nothing sends or uses it yet.

--- a/cactusmast/job_coordinator.cc
+++ b/cactusmast/job_coordinator.cc
@@ -147,6 +147,7 @@
   }
   admitted.mCallerTimeoutMs = aRequest.mCallerTimeoutMs;
   ApplyForecast(admitted, maxDeclaredMs, aNow);
+  MeasureDemand(admitted, aNow);
   mDeadlines.insert({ admitted.mDeadline, admitted.mId });
   for (size_t s = 0; s < admitted.mTasks.size(); s++) {
     for (size_t i = 0; i < admitted.mTasks[s].size(); i++) {
--- a/cactusmast/job_coordinator.h
+++ b/cactusmast/job_coordinator.h
@@ -37,6 +37,7 @@
 #include "cactusmast/placement.h"
 #include "cactusmast/ports.h"
 #include "cactusmast/route_config.h"
+#include "cactusmast/route_demand.h"
 #include "cactusmast/task_executor.h"
 #include "cactusmast/timeout_model.h"
 
@@ -155,9 +156,18 @@
   // aUpdate: from the store or another process; empty: nothing is known.
   void OnEvacuations(const std::optional<evacuation_update>& aUpdate,
                      instant aNow);
+  // The load of another entry; aEntry differs between its incarnations.
+  void OnEntryLoad(const std::string& aEntry,
+                   const wire::entry_load_msg& aLoad,
+                   instant aNow);
+  // The demand at this entry, for the other entries.
+  std::vector<std::unique_ptr<wire::route_demand_msg>> EncodeOwnDemand(
+    size_t aMaxRoutes,
+    instant aNow);
   // To be called in each turn of the loop.
   void Tick(instant aNow);
 
+  const demand_board& Demand() const { return mDemand; }
   const evacuation_tracker& Evacuations() const { return mEvacuations; }
   size_t OpenJobs() const { return mJobs.size(); }
   size_t WaitingTasks() const { return mWaiting.size(); }
@@ -251,6 +261,11 @@
   const job& Admit(job_request& aRequest, instant aNow);
   // Sets the members of aJob that depend on the forecast by its caller timeout.
   void ApplyForecast(job& aJob, uint32_t aDeclaredMs, instant aNow);
+  // The forecast work of the job, in core-milliseconds.
+  double WorkOf(const job& aJob) const;
+  void MeasureDemand(const job& aJob, instant aNow);
+  // Brings the own demand on mDemand up to date.
+  void UpdateOwnDemand(instant aNow);
   // The forecast run time of a task on a backend server with a slowness of 1.
   static double ExpectedRunMs(const job& aJob, const job_step& aStep);
   void ObserveRunTime(const job& aJob,
@@ -363,6 +378,8 @@
   bool mDiscovering = true; // until mDiscoveryEnd
   std::map<std::string, executor_subset> mSubsets; // by service
   evacuation_tracker mEvacuations;
+  demand_meter mDemandMeter;
+  demand_board mDemand;
   slowness_summary mSlowness; // of mViews, as of the latest placement
   instant mNextTimeoutCheck{};
   // Reports or waiting tasks have come since all waiting tasks were last tried.
