The coordinator is told its overload settings

Cause: the parts for overload need them inside the decisions. Change: overload_settings in a header of its own, passed to job_coordinator.

--- a/cactusmast/instance_settings.h
+++ b/cactusmast/instance_settings.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "cactusmast/mechanisms.h"
+#include "cactusmast/overload_settings.h"
 #include "util/result.h"
 
 namespace cactusmast {
@@ -39,20 +40,6 @@
   std::string AddressAt(const std::string& aHost) const;
 };
 
-// What an entry does when processors of the backend servers are short. Each
-// part is off unless the settings ask for it.
-struct overload_settings
-{
-  // Whether scarce capacity is shared between the routes of a service by their
-  // priority.
-  bool mRouteShares = false;
-  // With mRouteShares: share of the capacity that no route with that much
-  // demand is pushed below.
-  uint32_t mGuaranteedPercent = 0;
-  // Whether jobs that can only be late may wait for spare capacity.
-  bool mLateDeferral = false;
-};
-
 struct coordinator_settings
 {
   instance_settings mInstance;
--- a/cactusmast/job_coordinator.cc
+++ b/cactusmast/job_coordinator.cc
@@ -38,7 +38,8 @@
                                  job_answers& aAnswers,
                                  random_source& aRandom,
                                  event_sink& aEvents,
-                                 const mechanism_set& aMechanisms)
+                                 const mechanism_set& aMechanisms,
+                                 const overload_settings& aOverload)
   : mName(std::move(aName))
   , mDataCenter(std::move(aDataCenter))
   , mLinks(aLinks)
@@ -46,6 +47,7 @@
   , mRandom(aRandom)
   , mEvents(aEvents)
   , mMechanisms(aMechanisms)
+  , mOverload(aOverload)
 {
 }
 
--- a/cactusmast/job_coordinator.h
+++ b/cactusmast/job_coordinator.h
@@ -34,6 +34,7 @@
 #include "cactusmast/executor_subset.h"
 #include "cactusmast/latency_histogram.h"
 #include "cactusmast/mechanisms.h"
+#include "cactusmast/overload_settings.h"
 #include "cactusmast/placement.h"
 #include "cactusmast/ports.h"
 #include "cactusmast/route_config.h"
@@ -136,7 +137,8 @@
                   job_answers& aAnswers,
                   random_source& aRandom,
                   event_sink& aEvents,
-                  const mechanism_set& aMechanisms = {});
+                  const mechanism_set& aMechanisms = {},
+                  const overload_settings& aOverload = {});
 
   // Answers the caller once, during the call or later.
   void Submit(job_request aRequest, instant aNow);
@@ -365,6 +367,7 @@
   random_source& mRandom;
   event_sink& mEvents;
   mechanism_set mMechanisms;
+  overload_settings mOverload;
 
   std::unordered_map<uint64_t, job> mJobs;
   std::unordered_map<caller_id, uint64_t> mCallerJobs;
--- a/shell/coordinator_daemon.cc
+++ b/shell/coordinator_daemon.cc
@@ -40,7 +40,8 @@
                  *this,
                  *this,
                  mLog,
-                 aSettings.mInstance.mMechanisms)
+                 aSettings.mInstance.mMechanisms,
+                 aSettings.mOverload)
   , mConfig(aAdapter.mDecodeConfig)
   , mEvacuationRows(aAdapter.mEvacuations, mLog)
   , mTimeoutModelRow(aAdapter.mStore,
