--- a/cactusmast/events.cc
+++ b/cactusmast/events.cc
@@ -159,6 +159,11 @@
       "server_speed_changed",
       "An executor found that its backend server has suddenly become slower "
       "or faster." },
+    { e::TaskStalled,
+      s::Warning,
+      "task_stalled",
+      "A running task made no progress for too long; it is being stopped, and "
+      "its entry places it again." },
     { e::JobAccepted, s::Info, "job_accepted", "A job was admitted." },
     { e::JobRefused, s::Info, "job_refused", "A submission was refused." },
     { e::JobDecided,
--- a/cactusmast/events.h
+++ b/cactusmast/events.h
@@ -59,6 +59,7 @@
   ServerStateChanged = 343,
   SubsetResized = 344,
   ServerSpeedChanged = 345,
+  TaskStalled = 346,
   JobAccepted = 400,
   JobRefused = 401,
   JobDecided = 402,
--- a/cactusmast/instance_settings.cc
+++ b/cactusmast/instance_settings.cc
@@ -76,6 +76,7 @@
       aReader.Address("control", true, &aOut->mControl);
       aReader.Address("backend", true, &aOut->mBackend);
       aReader.Text("service", true, &aOut->mService);
+      aReader.Flag("stall_detection", &aOut->mStallDetection);
     });
 }
 
--- a/cactusmast/instance_settings.h
+++ b/cactusmast/instance_settings.h
@@ -59,6 +59,9 @@
   std::string mControl; // HOST:PORT where the backend server announces itself
   std::string mBackend; // HOST:PORT of the backend server
   std::string mService; // that the backend server serves
+  // Whether tasks that make no progress are stopped, so that they can be
+  // placed elsewhere.
+  bool mStallDetection = false;
 };
 
 // Errors: BadRequest, with the file as the peer.
--- a/cactusmast/mechanisms.h
+++ b/cactusmast/mechanisms.h
@@ -40,6 +40,7 @@
   LearnedSpeed,   // the backend server's speed is estimated from ended tasks
   OutlierSpeeds,  // single tasks far longer than declared do not count for it
   IllnessNoticed, // a backend server that fails every task is quarantined
+  StallDetection, // tasks that make no progress are stopped
   ReportSpacing,  // changes are batched before they are reported
   Count
 };
--- a/cactusmast/task_executor.h
+++ b/cactusmast/task_executor.h
@@ -92,6 +92,8 @@
                 event_sink& aEvents,
                 const mechanism_set& aMechanisms = {});
 
+  // Stops tasks that make no progress from now on.
+  void DetectStalls() { mDetectsStalls = true; }
   void OnEntryUp(peer_id aEntry, const std::string& aName, instant aNow);
   void OnEntryDown(peer_id aEntry, instant aNow);
   void OnHeartbeat(peer_id aEntry, instant aNow);
@@ -155,6 +157,8 @@
   const resources& Free() const { return mFree; }
   // Entries that want a report of each change of free capacity.
   size_t SubscribedEntries() const;
+  // Tasks stopped for want of progress since the start.
+  uint64_t StalledTasks() const { return mStalledTasks; }
 
 private:
   enum class task_state : uint8_t
@@ -184,6 +188,7 @@
     bool mSeenRunning = false; // listed by some poll reply
     uint32_t mPercent = 0;     // progress in the last poll reply that listed it
     instant mPercentAt{};      // when that reply came
+    instant mProgressAt{};     // when mPercent last changed; 0: not listed yet
     bool mSlowReported = false;
     bool mStopping = false;
     bool mStopAcknowledged = false;
@@ -251,6 +256,8 @@
                     instant aSentAt,
                     instant aNow);
   void OnProgress(task& aTask, uint32_t aPercent, instant aNow);
+  // Stops the tasks that have stalled, after a poll reply.
+  void StopStalledTasks(instant aNow);
   void CheckIncarnation(int64_t aStartTimeMs, instant aNow);
   void SetServer(const server_announcement& aServer);
   void CheckCold(instant aNow);
@@ -321,6 +328,8 @@
   instant mColdUntil{};
   double mMeanRunMs = 0;       // 0: no task has succeeded yet
   uint32_t mFailuresInRow = 0; // of tasks and starts
+  bool mDetectsStalls = false;
+  uint64_t mStalledTasks = 0;
   instant mQuarantinedUntil{};
 };
 
--- a/cactusmast/task_executor_polls.cc
+++ b/cactusmast/task_executor_polls.cc
@@ -110,6 +110,7 @@
   }
   ApplyEnds(aSnapshot, aNow);
   ApplyRunning(aSnapshot, sentAt, aNow);
+  StopStalledTasks(aNow);
 }
 
 void
@@ -203,6 +204,9 @@
 task_executor::OnProgress(task& aTask, uint32_t aPercent, instant aNow)
 {
   duration ran = aNow - aTask.mStartSentAt;
+  if (aPercent != aTask.mPercent || aTask.mProgressAt.count() == 0) {
+    aTask.mProgressAt = aNow;
+  }
   aTask.mPercent = aPercent;
   aTask.mPercentAt = aNow;
   bool early = ran < kMinProgressTime || aPercent < kMinProgressPercent;
--- a/cactusmast/testing/instance_parts_test.cc
+++ b/cactusmast/testing/instance_parts_test.cc
@@ -352,6 +352,7 @@
     text + "switched_off: [early_return, learned_speed]\n", "f");
   REQUIRE(reduced.Ok());
   const mechanism_set& mechanisms = reduced.Value().mInstance.mMechanisms;
+  CHECK(executor.Value().mStallDetection);
   CHECK_FALSE(mechanisms.Has(mechanism::EarlyReturn));
   CHECK_FALSE(mechanisms.Has(mechanism::LearnedSpeed));
   CHECK(mechanisms.Has(mechanism::ServerRecall));
--- a/cactusmast/testing/overload_test.cc
+++ b/cactusmast/testing/overload_test.cc
@@ -77,6 +77,33 @@
   }
 }
 
+TEST_CASE("backend servers whose tasks stand still make few jobs late")
+{
+  // Guards against backend servers that look ready and lose whatever is placed
+  // on them.
+  for (uint32_t seed : { 1u, 2u, 3u }) {
+    sized_world world(8, 51, seed);
+    SetUnevenSpeeds(&world);
+    for (size_t i = 0; i < world.Servers(); i++) {
+      world.Executor(i).DetectStalls();
+      world.Server(i).mHangs = i % 9 == 0;
+    }
+    load_result result =
+      PlayLoad(&world, 0.6, seconds(4), seed, kDeclaredSigma);
+    CHECK(world.Violations().empty());
+    MESSAGE("seed ",
+            seed,
+            ": in time ",
+            result.mInTime,
+            ", refused ",
+            result.mRefused,
+            " of ",
+            result.mJobs);
+    CHECK(result.mInTime * 10 > result.mJobs * 9);
+    CHECK(result.mRatios.size() * 100 > result.mJobs * 99);
+  }
+}
+
 TEST_CASE("goodput at twice the capacity is at least nine tenths of its peak")
 {
   // Guards against capacity spent on jobs whose answers are late anyway.
--- a/cactusmast/testing/task_executor_test.cc
+++ b/cactusmast/testing/task_executor_test.cc
@@ -384,6 +384,45 @@
   CHECK(world.mExecutor.Slowness() < 1.2);
 }
 
+TEST_CASE("a task that makes no progress is stopped and its entry is told")
+{
+  // Guards against a backend server that replies to polls while its tasks stand
+  // still until their callers give up.
+  started_task world;
+  world.mExecutor.DetectStalls();
+  const start_request started = world.mRunner.mStarts.back();
+  world.ReplyToStart(start_result::Started);
+  std::vector<running_task> running{ { started.mTask, started.mRunNumber, 0 } };
+  world.AdvanceWithoutHeartbeat(milliseconds(200), running);
+  CHECK(world.mRunner.mStops.empty());
+  world.AdvanceWithoutHeartbeat(milliseconds(100), running);
+  REQUIRE(!world.mRunner.mStops.empty());
+  CHECK(world.mExecutor.StalledTasks() == 1);
+  // It counts as running until the backend server lists its end.
+  CHECK(world.mLinks.mOutcomes.empty());
+  world.mRunner.mPolls.clear();
+  world.Advance(milliseconds(150));
+  world.ReplyToPoll(
+    {}, { { 1, started.mTask, started.mRunNumber, end_kind::Stopped } });
+  world.Advance(milliseconds(1));
+  CHECK(world.mLinks.mOutcomes ==
+        std::vector<attempt_outcome>{ attempt_outcome::Stopped });
+}
+
+TEST_CASE("a task that makes slow progress is not stopped")
+{
+  // Guards against restarts of long tasks, which would lose their work.
+  started_task world;
+  world.mExecutor.DetectStalls();
+  const start_request started = world.mRunner.mStarts.back();
+  world.ReplyToStart(start_result::Started);
+  for (uint32_t percent = 0; percent < 5; percent++) {
+    world.AdvanceWithoutHeartbeat(
+      milliseconds(90), { { started.mTask, started.mRunNumber, percent } });
+  }
+  CHECK(world.mRunner.mStops.empty());
+}
+
 TEST_CASE(
   "a backend server that has timed out is reported to every entry at once")
 {
--- a/shell/executor_daemon.cc
+++ b/shell/executor_daemon.cc
@@ -43,6 +43,9 @@
                   mLog)
   , mEvacuationRows(aAdapter.mEvacuations, mLog)
 {
+  if (aSettings.mStallDetection) {
+    mExecutor.DetectStalls();
+  }
 }
 
 result<std::unique_ptr<executor_daemon>>
@@ -323,6 +326,9 @@
   aPage->Gauge("cactusmast_free_cpu_millis",
                "Free capacity in thousandths of a core.",
                double(mExecutor.Free().mCpuMillis));
+  aPage->Counter("cactusmast_tasks_stalled",
+                 "Running tasks stopped because they made no progress.",
+                 double(mExecutor.StalledTasks()));
   aPage->Gauge("cactusmast_slowness",
                "Run time divided by its estimate.",
                mExecutor.Slowness());
