Entries send each other their demand with heartbeats

Cause: the demand at other entries was known to no one; nothing sent it. Change: coordinator_daemon adds the load to heartbeats to entries, where shared_demand and one of route_shares, late_deferral and job_forwarding are on, and hands received ones to the coordinator. load_pacing spaces the loads by their size and the number of entries, and drops routes where the longest interval does not suffice. A load is known by the entry's name and incarnation: those of a newer incarnation replace the older ones at once. Metrics demand_millis, demand_all_millis and demand_age_seconds. The exchange between two processes has no test yet.

--- a/cactusmast/job_coordinator.h
+++ b/cactusmast/job_coordinator.h
@@ -158,14 +158,18 @@
   // aUpdate: from the store or another process; empty: nothing is known.
   void OnEvacuations(const std::optional<evacuation_update>& aUpdate,
                      instant aNow);
-  // The load of another entry; aEntry differs between its incarnations.
+  // The load of another entry. aIncarnation: of the entry; a greater one begins
+  // a new sequence of loads.
   void OnEntryLoad(const std::string& aEntry,
                    const wire::entry_load_msg& aLoad,
-                   instant aNow);
+                   instant aNow,
+                   uint64_t aIncarnation = 0);
   // The demand at this entry, for the other entries.
   std::vector<std::unique_ptr<wire::route_demand_msg>> EncodeOwnDemand(
     size_t aMaxRoutes,
     instant aNow);
+  // Brings the own demand in Demand() up to date.
+  void UpdateOwnDemand(instant aNow);
   // To be called in each turn of the loop.
   void Tick(instant aNow);
 
@@ -266,8 +270,6 @@
   // The forecast work of the job, in core-milliseconds.
   double WorkOf(const job& aJob) const;
   void MeasureDemand(const job& aJob, instant aNow);
-  // Brings the own demand on mDemand up to date.
-  void UpdateOwnDemand(instant aNow);
   // The forecast run time of a task on a backend server with a slowness of 1.
   static double ExpectedRunMs(const job& aJob, const job_step& aStep);
   void ObserveRunTime(const job& aJob,
--- a/cactusmast/job_coordinator_demand.cc
+++ b/cactusmast/job_coordinator_demand.cc
@@ -51,9 +51,10 @@
 void
 job_coordinator::OnEntryLoad(const std::string& aEntry,
                              const wire::entry_load_msg& aLoad,
-                             instant aNow)
+                             instant aNow,
+                             uint64_t aIncarnation)
 {
-  mDemand.OnEntry(aEntry, aLoad, aNow);
+  mDemand.OnEntry(aEntry, aLoad, aNow, aIncarnation);
 }
 
 std::vector<std::unique_ptr<wire::route_demand_msg>>
--- a/cactusmast/route_demand.cc
+++ b/cactusmast/route_demand.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 #include "cactusmast/time_spans.h"
 
@@ -57,12 +58,15 @@
 void
 demand_board::OnEntry(const std::string& aEntry,
                       const wire::entry_load_msg& aLoad,
-                      instant aNow)
+                      instant aNow,
+                      uint64_t aIncarnation)
 {
   remote_load& known = mEntries[aEntry];
-  if (aLoad.sequence <= known.mSequence) {
+  if (std::tie(aIncarnation, aLoad.sequence) <=
+      std::tie(known.mIncarnation, known.mSequence)) {
     return;
   }
+  known.mIncarnation = aIncarnation;
   known.mSequence = aLoad.sequence;
   known.mReceivedAt = aNow;
   known.mDemand.clear();
--- a/cactusmast/route_demand.h
+++ b/cactusmast/route_demand.h
@@ -14,7 +14,8 @@
 //   double all = board.Total("quotes", now).mOfferedMillis;
 //
 // Invariants:
-// - Figures of an entry are replaced by newer ones of it only.
+// - Figures of an entry are replaced by newer ones of it only, and all at once
+//   after its restart.
 // - Figures that were not replaced for kDemandFresh lose weight until they
 //   count for nothing at kDemandExpired, so that a lost entry is forgotten.
 
@@ -82,11 +83,12 @@
 {
 public:
   void SetOwn(demand_by_route aDemand) { mOwn = std::move(aDemand); }
-  // The load of another entry, which aEntry names together with its
-  // incarnation. Older loads than the known one are ignored.
+  // The load of another entry. Loads of an older incarnation or with an older
+  // sequence number than the known one are ignored.
   void OnEntry(const std::string& aEntry,
                const wire::entry_load_msg& aLoad,
-               instant aNow);
+               instant aNow,
+               uint64_t aIncarnation = 0);
 
   const demand_by_route& Own() const { return mOwn; }
   // The demand at the other entries.
@@ -103,6 +105,7 @@
 private:
   struct remote_load
   {
+    uint64_t mIncarnation = 0;
     uint64_t mSequence = 0;
     instant mReceivedAt{};
     demand_by_route mDemand;
--- a/shell/coordinator_config.cc
+++ b/shell/coordinator_config.cc
@@ -61,6 +61,9 @@
   mCoordinator.OnEvacuations(
     DecodeEvacuations(aHeartbeat.evacuating.get(), Now()), Now());
   AddEntries(aHeartbeat.entries, aState.mAddress, Now());
+  if (aHeartbeat.load) {
+    OnEntryLoad(aState, *aHeartbeat.load);
+  }
 }
 
 void
--- a/shell/coordinator_daemon.cc
+++ b/shell/coordinator_daemon.cc
@@ -12,7 +12,6 @@
 constexpr uint32_t kConfigWatchMs = 1500;
 // Entries change rarely, and heartbeats and settings name them too.
 constexpr uint32_t kEntryWatchMs = 10000;
-constexpr duration kEntryHeartbeatInterval = milliseconds(300);
 constexpr duration kPeerEntryTimeout = milliseconds(1000);
 // Interval between checks for executors that are due a heartbeat. Every message
 // causes a turn of the loop, and each check visits all busy executors.
@@ -176,6 +175,8 @@
     SendExecutorHeartbeat(aPeer, added, Now());
   } else {
     entry_peer& added = mEntryPeers[aPeer];
+    added.mName = aIdentity.mName;
+    added.mIncarnation = aIdentity.mIncarnation;
     added.mAddress = aIdentity.mAddress;
     added.mLastHeard = Now();
     mDirectory.OnConnected(aIdentity.mAddress, Now());
@@ -367,9 +368,13 @@
     return;
   }
   mNextHeartbeat = aNow + kEntryHeartbeatInterval;
+  std::optional<wire::entry_load_msg> load = NextLoad(aNow);
   for (auto& [peer, state] : mEntryPeers) {
     wire::entry_pulse_msg heartbeat = MakeHeartbeat(&state.mSentRevision, aNow);
     heartbeat.requests_config = true;
+    if (load) {
+      heartbeat.load = std::make_unique<wire::entry_load_msg>(*load);
+    }
     mTransport->Send(peer, MakeMessage(std::move(heartbeat)));
     SendConfigTo(peer, state, aNow);
   }
@@ -526,6 +531,7 @@
   aPage->Gauge("cactusmast_servers_placeable",
                "Backend servers that tasks are placed on.",
                double(mCoordinator.PlaceableServers()));
+  AddDemandMetrics(aPage);
   AddEvacuationMetrics(mCoordinator.Evacuations(), Now(), aPage);
   aPage->Gauge("cactusmast_store_available",
                "1 if the store answers, else 0.",
--- a/shell/coordinator_daemon.h
+++ b/shell/coordinator_daemon.h
@@ -7,12 +7,14 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
 #include "cactusmast/caller_codec.h"
 #include "cactusmast/config_exchange.h"
 #include "cactusmast/job_coordinator.h"
+#include "cactusmast/load_pacing.h"
 #include "cactusmast/route_config.h"
 #include "cactusmast/startup_queue.h"
 #include "cactusmast/stored_row.h"
@@ -82,6 +84,8 @@
 private:
   struct entry_peer
   {
+    std::string mName;
+    uint64_t mIncarnation = 0;
     std::string mAddress;
     instant mLastHeard{};
     bool mHeartbeatReceived = false;
@@ -189,6 +193,14 @@
   void OnEntryHeartbeat(peer_id aPeer,
                         entry_peer& aState,
                         const wire::entry_pulse_msg& aHeartbeat);
+  // Whether a part is on that uses the demand at other entries.
+  bool SharesDemand() const;
+  wire::entry_load_msg MakeLoad(instant aNow);
+  // What the next heartbeats to entries carry; empty when no load is due.
+  std::optional<wire::entry_load_msg> NextLoad(instant aNow);
+  void OnEntryLoad(const entry_peer& aSender,
+                   const wire::entry_load_msg& aLoad);
+  void AddDemandMetrics(metrics_page* aPage);
   void OnConfigRequest(peer_id aPeer,
                        const entry_peer& aState,
                        const wire::config_request_msg& aRequest);
@@ -223,6 +235,8 @@
   std::map<peer_id, executor_peer> mExecutorPeers;
   uint64_t mSentRevision = 0; // of the directory, to all executors
   instant mNextHeartbeat{};
+  load_pacing mLoadPacing;
+  uint64_t mLoadSequence = 0; // of the newest load of this entry
   instant mNextExecutorCheck{};
   bool mRegistered = false;  // this entry's row is in the store
   bool mRegistering = false; // a write of that row is in flight
--- a/shell/metrics_page.h
+++ b/shell/metrics_page.h
@@ -58,6 +58,13 @@
 constexpr char kEvacuatedMetric[] = "cactusmast_evacuated_seconds";
 constexpr char kEvacuationsAgeMetric[] = "cactusmast_evacuations_age_seconds";
 
+// Read by `cactusmast demand`; the first four have a value for each route.
+constexpr char kDemandMetric[] = "cactusmast_demand_millis";
+constexpr char kTotalDemandMetric[] = "cactusmast_demand_all_millis";
+constexpr char kShareLimitMetric[] = "cactusmast_share_limit_millis";
+constexpr char kShareHeldMetric[] = "cactusmast_share_held_tasks";
+constexpr char kDemandAgeMetric[] = "cactusmast_demand_age_seconds";
+
 // Adds for how long each evacuated data centre has been known as such, and the
 // time since the store last reported the evacuations.
 void
