--- a/cactusmast/route_demand.cc
+++ b/cactusmast/route_demand.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 #include "cactusmast/time_spans.h"
 
@@ -57,12 +58,15 @@
 void
 demand_board::OnEntry(const std::string& aEntry,
                       const wire::entry_load_msg& aLoad,
-                      instant aNow)
+                      instant aNow,
+                      uint64_t aIncarnation)
 {
   remote_load& known = mEntries[aEntry];
-  if (aLoad.sequence <= known.mSequence) {
+  if (std::tie(aIncarnation, aLoad.sequence) <=
+      std::tie(known.mIncarnation, known.mSequence)) {
     return;
   }
+  known.mIncarnation = aIncarnation;
   known.mSequence = aLoad.sequence;
   known.mReceivedAt = aNow;
   known.mDemand.clear();
@@ -158,7 +162,9 @@
     row->offered_millis = uint32_t(demand.mOfferedMillis);
     row->running_millis = uint32_t(demand.mRunningMillis);
     row->waiting_core_ms = uint32_t(demand.mWaitingCoreMs);
-    rows.push_back(std::move(row));
+    if (row->offered_millis + row->running_millis + row->waiting_core_ms > 0) {
+      rows.push_back(std::move(row));
+    }
   }
   std::sort(
     rows.begin(), rows.end(), [](const auto& aLeft, const auto& aRight) {
