Single long tasks no longer count for a backend server's speed

Cause: the estimate weights tasks by their length, so that one task that takes seven times as long makes its backend server appear two to three times slower for the next ten tasks. Change: robust_slowness ignores a task of more than three times the estimate, or less than a third of it, unless it is the third of five ends; the progress of running tasks shows a slow backend server before they end. The mean run time leaves the same tasks out and changes with the slowness. Off with learned_speed or outlier_speeds. The world of the tests has tasks that take a multiple of their work.

--- a/cactusmast/task_executor.cc
+++ b/cactusmast/task_executor.cc
@@ -43,6 +43,8 @@
   , mRunner(aRunner)
   , mEvents(aEvents)
   , mMechanisms(aMechanisms)
+  , mSlowness(IgnoresOutliers())
+  , mColdSlowness(IgnoresOutliers())
 {
 }
 
--- a/cactusmast/task_executor.h
+++ b/cactusmast/task_executor.h
@@ -150,6 +150,8 @@
   size_t Queued() const { return mQueue.size(); }
   // Actual over declared run time: above 1 if slower than declared.
   double Slowness() const;
+  // Ended tasks that did not count for the slowness.
+  uint64_t SlowOutliers() const { return mSlowOutliers; }
   const evacuation_tracker& Evacuations() const { return mEvacuations; }
   // Capacity that no started task occupies.
   const resources& Free() const { return mFree; }
@@ -250,6 +252,14 @@
   void ApplyRunning(const server_snapshot& aSnapshot,
                     instant aSentAt,
                     instant aNow);
+  // Adds an ended task to the estimates of the slowness and the mean run time.
+  void ObserveRun(const task& aTask, double aRanMs);
+  bool IgnoresOutliers() const;
+  // Whether the progress of the running tasks, aRunning, shows that the backend
+  // server has become slow.
+  void CheckProgress(const std::set<task_key>& aRunning, instant aNow);
+  // The slowness was aBefore until the estimate was recomputed.
+  void OnSpeedChanged(double aBefore, const std::string& aShownBy);
   void OnProgress(task& aTask, uint32_t aPercent, instant aNow);
   void CheckIncarnation(int64_t aStartTimeMs, instant aNow);
   void SetServer(const server_announcement& aServer);
@@ -315,8 +325,9 @@
   bool mHasStrays = true;         // assumed until the first poll reply
   std::map<task_key, instant> mStrayStops; // when each is stopped again
 
-  slowness_estimate mSlowness;
-  slowness_estimate mColdSlowness; // while the backend server is cold
+  robust_slowness mSlowness;
+  robust_slowness mColdSlowness; // while the backend server is cold
+  uint64_t mSlowOutliers = 0;
   bool mCold = false;
   instant mColdUntil{};
   double mMeanRunMs = 0;       // 0: no task has succeeded yet
--- a/cactusmast/task_executor_polls.cc
+++ b/cactusmast/task_executor_polls.cc
@@ -173,6 +173,7 @@
                      { "run", std::to_string(run.mRunNumber) } });
     }
   }
+  CheckProgress(listed, aNow);
   if (!strays) {
     mStrayStops.clear();
   }
@@ -246,7 +247,7 @@
   EndAllStarted(attempt_outcome::Lost, aNow);
   mFailuresInRow = 0;
   mQuarantinedUntil = instant(0);
-  mSlowness = slowness_estimate();
+  mSlowness = robust_slowness(IgnoresOutliers());
 }
 
 void
@@ -293,16 +294,78 @@
     return;
   }
   mFailuresInRow = 0;
-  auto ranMs = double(ToMs(aNow - aTask.mStartSentAt));
-  mMeanRunMs = mMeanRunMs == 0
-                 ? ranMs
-                 : kMeanRunDecay * mMeanRunMs + (1 - kMeanRunDecay) * ranMs;
+  ObserveRun(aTask, double(ToMs(aNow - aTask.mStartSentAt)));
+}
+
+void
+task_executor::ObserveRun(const task& aTask, double aRanMs)
+{
   // The run time is compared with the declared one. Entries make forecasts from
   // this slowness; if it were computed from forecasts, errors of both would
   // reinforce each other.
   bool startedCold = aTask.mStartSentAt < mColdUntil;
-  (startedCold ? mColdSlowness : mSlowness)
-    .Observe(ranMs, double(aTask.mDeclaredMs));
+  double before = Slowness();
+  slowness_evidence evidence =
+    (startedCold ? mColdSlowness : mSlowness)
+      .Observe(aRanMs, double(aTask.mDeclaredMs), aTask.mStartSentAt);
+  if (evidence == slowness_evidence::Ignored) {
+    mSlowOutliers++;
+    return; // nor does it tell when other tasks will end
+  }
+  mMeanRunMs = mMeanRunMs == 0
+                 ? aRanMs
+                 : kMeanRunDecay * mMeanRunMs + (1 - kMeanRunDecay) * aRanMs;
+  if (evidence == slowness_evidence::Changed && startedCold == mCold) {
+    OnSpeedChanged(before, "ends");
+  }
+}
+
+bool
+task_executor::IgnoresOutliers() const
+{
+  return mMechanisms.Has(mechanism::LearnedSpeed) &&
+         mMechanisms.Has(mechanism::OutlierSpeeds);
+}
+
+void
+task_executor::CheckProgress(const std::set<task_key>& aRunning, instant aNow)
+{
+  if (!IgnoresOutliers()) {
+    return;
+  }
+  std::vector<running_progress> running;
+  for (const task_key& key : aRunning) {
+    const task& listed = mTasks.at(key);
+    running_progress progress;
+    progress.mStartedAt = listed.mStartSentAt;
+    progress.mDeclaredMs = listed.mDeclaredMs;
+    duration ran = aNow - listed.mStartSentAt;
+    bool startedCold = listed.mStartSentAt < mColdUntil;
+    bool usable = ran >= kMinProgressTime &&
+                  listed.mPercent >= kMinProgressPercent &&
+                  startedCold == mCold;
+    if (usable) {
+      progress.mRunMs = double(ToMs(ran)) * 100 / listed.mPercent;
+    }
+    running.push_back(progress);
+  }
+  double before = Slowness();
+  if ((mCold ? mColdSlowness : mSlowness).ObserveRunning(running)) {
+    OnSpeedChanged(before, "progress");
+  }
+}
+
+void
+task_executor::OnSpeedChanged(double aBefore, const std::string& aShownBy)
+{
+  // Run times change with the slowness.
+  mMeanRunMs *= Slowness() / aBefore;
+  mEvents.Emit(event_code::ServerSpeedChanged,
+               { { "server", mServer.mId },
+                 { "before", std::to_string(aBefore) },
+                 { "now", std::to_string(Slowness()) },
+                 { "shown_by", aShownBy } });
+  MarkChanged();
 }
 
 double
@@ -325,7 +388,8 @@
   }
   mCold = cold;
   if (cold) {
-    mColdSlowness = slowness_estimate(mSlowness.Slowness());
+    mColdSlowness =
+      robust_slowness::FromGuess(IgnoresOutliers(), mSlowness.Slowness());
   }
   mEvents.Emit(event_code::BackendCold,
                { { "server", mServer.mId },
--- a/cactusmast/testing/fake_server.cc
+++ b/cactusmast/testing/fake_server.cc
@@ -66,7 +66,8 @@
   started.mRunNumber = aRequest.mRunNumber;
   started.mStartedAt = mWorld.Now();
   started.mAdvancedAt = mWorld.Now();
-  started.mWorkMs = std::stod(aRequest.mSpec);
+  started.mWorkMs =
+    std::stod(aRequest.mSpec) * mWorld.WorkFactor(aRequest.mTask);
   started.mCpu = 3000;
   mStarts++;
   mWorld.OnTaskStart(aRequest.mTask, mIndex);
--- a/cactusmast/testing/sized_load.cc
+++ b/cactusmast/testing/sized_load.cc
@@ -39,6 +39,7 @@
   for (const job_kind& kind : kKinds) {
     workS += kind.mShare * kind.WorkS();
   }
+  workS *= aWorld->MeanWorkFactor();
   return aLoad * speed * kTasksPerServer / workS;
 }
 
@@ -65,7 +66,10 @@
 }
 
 void
-Count(const caller_record& aCaller, const job_kind& aKind, load_result* aOut)
+Count(const caller_record& aCaller,
+      const job_kind& aKind,
+      double aLongestWorkFactor,
+      load_result* aOut)
 {
   if (!aCaller.mAnswered) {
     return;
@@ -78,8 +82,9 @@
   }
   duration responseTime = aCaller.mAnsweredAt - aCaller.mSentAt;
   double responseMs = double(responseTime.count()) / 1000;
-  aOut->mRatios.push_back(responseMs / aKind.mWorkMs);
-  if (responseMs > kObjectiveStretch * aKind.mWorkMs + kObjectiveBaseMs) {
+  double longestMs = aLongestWorkFactor * aKind.mWorkMs;
+  aOut->mRatios.push_back(responseMs / longestMs);
+  if (responseMs > kObjectiveStretch * longestMs + kObjectiveBaseMs) {
     aOut->mLate++;
     return;
   }
@@ -124,7 +129,10 @@
   load_result totals;
   totals.mJobs = jobs;
   for (const caller_record& caller : aWorld->Callers()) {
-    Count(caller, kKinds[kinds.at(caller.mJob)], &totals);
+    Count(caller,
+          kKinds[kinds.at(caller.mJob)],
+          aWorld->LongestWorkFactor(caller.mJob),
+          &totals);
   }
   return totals;
 }
--- a/cactusmast/testing/sized_load.h
+++ b/cactusmast/testing/sized_load.h
@@ -18,8 +18,9 @@
   size_t mInTime = 0; // completed within the objective of the world's route
   size_t mLate = 0;   // completed later
   size_t mRefused = 0;
-  double mInTimeWorkS = 0; // work time of all tasks of the jobs in mInTime
-  // Of completed jobs: response time over the run time of a task.
+  // Work time of all tasks of the jobs in mInTime, without SetLongTasks.
+  double mInTimeWorkS = 0;
+  // Of completed jobs: response time over the run time of the longest task.
   std::vector<double> mRatios;
 };
 
--- a/cactusmast/testing/sized_world.h
+++ b/cactusmast/testing/sized_world.h
@@ -129,6 +129,12 @@
   instant Now() const { return mNow; }
   void At(duration aFromNow, std::function<void()> aDo);
 
+  // From now on aShare of the tasks that start take aFactor times their work.
+  // The choice depends on the task only, not on where or when it starts.
+  void SetLongTasks(double aShare, double aFactor);
+  double MeanWorkFactor() const { return 1 + mLongShare * (mLongFactor - 1); }
+  // The largest work factor of the tasks of the job.
+  double LongestWorkFactor(uint64_t aJob) const;
   // Sets the timeout of the only route, which is 60 s before.
   void SetRouteTimeout(uint32_t aTimeoutMs);
   // Submits a job of aTasks tasks that take aWorkMs each, and resubmits it to
@@ -220,6 +226,7 @@
   void SubmitTo(const job_request& aRequest, size_t aEntry);
   void OnAnswer(caller_id aCaller, const job_outcome& aOutcome);
   bool IsCut(size_t aEntry, size_t aServer) const;
+  double WorkFactor(const task_key& aTask) const;
   void SyncEvacuations();
 
   mechanism_set mMechanisms;
@@ -252,6 +259,8 @@
   std::map<uint64_t, uint32_t> mDeadlines;
   std::map<uint64_t, instant> mFirstSentAt;
   bool mCountDownTimeouts = false;
+  double mLongShare = 0; // see SetLongTasks
+  double mLongFactor = 1;
   uint32_t RemainingTimeoutMs(uint64_t aJob) const;
   std::map<task_key, std::set<size_t>> mRunningAt;
   std::set<uint64_t> mStartedJobs;
--- a/cactusmast/testing/sized_world_callers.cc
+++ b/cactusmast/testing/sized_world_callers.cc
@@ -28,6 +28,32 @@
   return job;
 }
 
+void
+sized_world::SetLongTasks(double aShare, double aFactor)
+{
+  mLongShare = aShare;
+  mLongFactor = aFactor;
+}
+
+double
+sized_world::WorkFactor(const task_key& aTask) const
+{
+  std::seed_seq seed{ uint32_t(aTask.mJob), aTask.mStep, aTask.mIndex };
+  std::mt19937 random(seed);
+  bool isLong = std::uniform_real_distribution<>(0, 1)(random) < mLongShare;
+  return isLong ? mLongFactor : 1;
+}
+
+double
+sized_world::LongestWorkFactor(uint64_t aJob) const
+{
+  double longest = 1;
+  for (uint32_t i = 0; i < mJobs.at(aJob).mSteps[0].mCount; i++) {
+    longest = std::max(longest, WorkFactor({ aJob, 0, i }));
+  }
+  return longest;
+}
+
 uint32_t
 sized_world::RemainingTimeoutMs(uint64_t aJob) const
 {
--- a/shell/executor_daemon.cc
+++ b/shell/executor_daemon.cc
@@ -326,6 +326,9 @@
   aPage->Gauge("cactusmast_slowness",
                "Run time divided by its estimate.",
                mExecutor.Slowness());
+  aPage->Counter("cactusmast_slow_outliers",
+                 "Ended tasks that did not count for the slowness.",
+                 double(mExecutor.SlowOutliers()));
   aPage->Gauge("cactusmast_server_state",
                "0 absent, 1 ready, 2 draining, 3 ill, 4 evacuated.",
                double(mExecutor.State(Now())));
