A few long tasks no longer spoil the forecasts from caller timeouts

Cause: the regression is fitted by least squares. With 3% of the tasks seven times as long it explains too little of the variance and is not used. Change: a run time that is far from both the declared one and the regression is not fitted. The sums and their stored form are unchanged.

--- a/cactusmast/testing/timeout_model_test.cc
+++ b/cactusmast/testing/timeout_model_test.cc
@@ -36,16 +36,21 @@
     next.mRunMs = 200 * std::exp(mRunSpread(mRandom));
     next.mDeclaredMs = next.mRunMs * std::exp(mDeclaredError(mRandom));
     next.mTimeoutMs = mTimeoutBaseMs + mTimeoutPerRunMs * next.mRunMs;
+    if (mLongShare > 0 && mUniform(mRandom) < mLongShare) {
+      next.mRunMs *= 7;
+    }
     return next;
   }
 
   double mTimeoutBaseMs = 1600;
   double mTimeoutPerRunMs = 5;
+  double mLongShare = 0; // of tasks that take seven times as long
 
 private:
   std::mt19937 mRandom;
   std::normal_distribution<> mRunSpread{ 0, 0.4 };
   std::normal_distribution<> mDeclaredError{ 0, 0.4 };
+  std::uniform_real_distribution<> mUniform{ 0, 1 };
 };
 
 // The objective by the route of sized_world.
@@ -96,6 +101,40 @@
   CHECK(model.Forecast("r", 100, 1e9).mRunMs < 2000); // bounded
 }
 
+TEST_CASE("a few tasks that run far longer leave forecasts as good as before")
+{
+  // Guards against a few long tasks that outweigh all others in the sums of
+  // squares, so that declared run times are used instead of timeouts.
+  for (uint32_t seed : { 1u, 2u, 3u }) {
+    CAPTURE(seed);
+    double errors[2];
+    for (bool fitsOutliers : { false, true }) {
+      job_generator generator(seed);
+      generator.mLongShare = 0.03;
+      timeout_model model(fitsOutliers);
+      ObserveJobs(&model, &generator, 600);
+      generator.mLongShare = 0;
+      errors[fitsOutliers ? 1 : 0] = MeanError(model, &generator);
+    }
+    MESSAGE("mean error ", errors[0], ", with long tasks fitted ", errors[1]);
+    CHECK(errors[0] < 0.05);
+    CHECK(errors[1] > 0.1);
+  }
+}
+
+TEST_CASE("a route whose tasks all run far longer than declared is fitted")
+{
+  // Guards against a filter that takes every task of a route for an outlier.
+  job_generator generator(8);
+  timeout_model model;
+  for (int i = 0; i < 100; i++) {
+    job_generator::job job = generator.Next();
+    model.Observe("r", job.mDeclaredMs / 8, job.mTimeoutMs, job.mRunMs);
+  }
+  CHECK(model.Forecast("r", 25, 2600).mRunMs ==
+        doctest::Approx(200).epsilon(0.05));
+}
+
 TEST_CASE("timeouts unrelated to run times leave declared run times in use")
 {
   // All callers of a route have the same timeout, or timeouts that are
--- a/cactusmast/timeout_model.cc
+++ b/cactusmast/timeout_model.cc
@@ -42,6 +42,9 @@
 // Weight that the share of resubmitted jobs keeps at each job.
 constexpr double kResubmittedDecay = 0.98;
 constexpr size_t kSumCount = 9;
+// A run time this many times the prediction, or this part of it, is far from
+// it; the same limit as for declared run times (slowness_estimate.cc).
+constexpr double kOutlierFactor = 3;
 
 double
 SquaredLogError(double aRunMs, double aPredictedMs)
@@ -107,10 +110,26 @@
   }
 }
 
+bool
+timeout_regression::IsOutlier(double aDeclaredMs,
+                              double aTimeoutMs,
+                              double aRunMs)
+{
+  bool farFromDeclared =
+    mDeclaredRatio.Observe(aRunMs, aDeclaredMs, instant(0)) ==
+    slowness_evidence::Ignored;
+  if (!farFromDeclared || !IsFitted()) {
+    return farFromDeclared;
+  }
+  double limit = std::log(kOutlierFactor);
+  return SquaredLogError(aRunMs, PredictRunMs(aTimeoutMs)) > limit * limit;
+}
+
 void
 timeout_regression::Observe(double aDeclaredMs,
                             double aTimeoutMs,
-                            double aRunMs)
+                            double aRunMs,
+                            bool aFitsOutliers)
 {
   bool resubmitted = Forecast(aDeclaredMs, aTimeoutMs).mElapsedMs > 0;
   mResubmittedShare = kResubmittedDecay * mResubmittedShare +
@@ -120,6 +139,9 @@
   } else if (resubmitted) {
     return;
   }
+  if (!aFitsOutliers && IsOutlier(aDeclaredMs, aTimeoutMs, aRunMs)) {
+    return;
+  }
   Decay();
   if (IsFitted()) {
     mErrorWeight += 1;
@@ -198,7 +220,7 @@
                        double aRunMs)
 {
   mObservations++;
-  mRegressions[aRoute].Observe(aDeclaredMs, aTimeoutMs, aRunMs);
+  mRegressions[aRoute].Observe(aDeclaredMs, aTimeoutMs, aRunMs, mFitsOutliers);
 }
 
 run_forecast
--- a/cactusmast/timeout_model.h
+++ b/cactusmast/timeout_model.h
@@ -21,7 +21,10 @@
 // model can be stored (Encode) and restored after a restart (Merge), when
 // nothing has been observed yet and many jobs arrive at once.
 //
-// Run times are those on a backend server with a slowness of 1.
+// Run times are those on a backend server with a slowness of 1. A single one
+// that is far longer or shorter than both the declared run time and the
+// regression explain is an outlier (slowness_estimate.h) and not fitted:
+// squares of errors would make a few of them outweigh all other observations.
 
 #ifndef CACTUSMAST_TIMEOUT_MODEL_H_
 #define CACTUSMAST_TIMEOUT_MODEL_H_
@@ -32,6 +35,7 @@
 #include <string>
 #include <vector>
 
+#include "cactusmast/slowness_estimate.h"
 #include "util/result.h"
 
 namespace cactusmast {
@@ -49,8 +53,12 @@
 class timeout_regression
 {
 public:
-  // A task that ended. Jobs that look resubmitted are not fitted.
-  void Observe(double aDeclaredMs, double aTimeoutMs, double aRunMs);
+  // A task that ended. Jobs that look resubmitted are not fitted, nor are
+  // outliers unless aFitsOutliers.
+  void Observe(double aDeclaredMs,
+               double aTimeoutMs,
+               double aRunMs,
+               bool aFitsOutliers = false);
   // aTimeoutMs: 0 if the caller has not given a timeout.
   run_forecast Forecast(double aDeclaredMs, double aTimeoutMs) const;
   // Sum of the weights of all observations; bounded because they decay.
@@ -70,6 +78,7 @@
   double PredictRunMs(double aTimeoutMs) const;
   // Decays all sums before an observation is added.
   void Decay();
+  bool IsOutlier(double aDeclaredMs, double aTimeoutMs, double aRunMs);
 
   // Decayed sums over the fitted observations; times in ms.
   double mWeight = 0;
@@ -86,6 +95,9 @@
   double mDeclaredErrors = 0;
   // Decayed share of the jobs that look resubmitted.
   double mResubmittedShare = 0;
+  // Run times over declared ones. Not stored: a restored regression starts with
+  // a ratio of 1.
+  robust_slowness mDeclaredRatio;
 };
 
 // A row of the store holds 64 KB, a regression takes about 100 bytes.
@@ -95,6 +107,11 @@
 class timeout_model
 {
 public:
+  explicit timeout_model(bool aFitsOutliers = false)
+    : mFitsOutliers(aFitsOutliers)
+  {
+  }
+
   // Updates the regression of aRoute only.
   void Observe(const std::string& aRoute,
                double aDeclaredMs,
@@ -118,6 +135,7 @@
   uint64_t Observations() const { return mObservations; }
 
 private:
+  bool mFitsOutliers;
   std::map<std::string, timeout_regression> mRegressions;
   uint64_t mObservations = 0;
 };
