Jobs in time are counted by their longest task as it turned out

Cause: in_objective of job_decided went by the forecast, although the objective is a stretch of the longest task. Change: once all tasks have ended, the objective is taken from the longest run time reported over the slowness. Counters mInObjective and mLate, metrics cactusmast_jobs_in_objective and cactusmast_jobs_late. The timeout model's filter goes by outlier_speeds.

--- a/cactusmast/job_coordinator.cc
+++ b/cactusmast/job_coordinator.cc
@@ -48,6 +48,7 @@
   , mEvents(aEvents)
   , mMechanisms(aMechanisms)
   , mOverload(aOverload)
+  , mTimeoutModel(!aMechanisms.Has(mechanism::OutlierSpeeds))
 {
 }
 
@@ -194,6 +195,17 @@
   }
 }
 
+void
+job_coordinator::SettleObjective(job& aJob)
+{
+  if (aJob.mLongestRunMs > 0) {
+    aJob.mObjectiveAt =
+      AddMs(aJob.mFirstSentAt,
+            aJob.mRoute->mObjectiveStretch * aJob.mLongestRunMs +
+              aJob.mRoute->mObjectiveBaseMs);
+  }
+}
+
 double
 job_coordinator::ExpectedRunMs(const job& aJob, const job_step& aStep)
 {
@@ -302,6 +314,7 @@
   switch (aOutcome.mEnding) {
     case job_ending::Completed:
       mCounters.mCompleted++;
+      (aNow <= ended.mObjectiveAt ? mCounters.mInObjective : mCounters.mLate)++;
       break;
     case job_ending::Refused:
       mCounters.mRefused++;
--- a/cactusmast/job_coordinator.h
+++ b/cactusmast/job_coordinator.h
@@ -118,6 +118,9 @@
   uint64_t mFailed = 0;
   uint64_t mRefused = 0;
   uint64_t mExpired = 0;
+  // Completed jobs by whether they met their objective.
+  uint64_t mInObjective = 0;
+  uint64_t mLate = 0;
   uint64_t mGivenUp = 0;    // jobs all of whose callers disconnected
   uint64_t mDispatches = 0; // messages to executors
   uint64_t mAttempts = 0;   // tasks in them
@@ -221,7 +224,11 @@
     double mCallerTimeoutMs = 0; // 0: not given
     double mRunTimeFactor = 1;   // forecast run time over the declared one
     double mRunSigma = kDeclaredSigma; // run_forecast::mSigma
-    instant mObjectiveAt{};
+    instant
+      mObjectiveAt{}; // by the forecast, of the longest task once all ended
+    // The longest run time of the tasks that are done, on a backend server with
+    // a slowness of 1; 0: none is known.
+    double mLongestRunMs = 0;
     instant mDeadline{}; // when the caller stops waiting, less kAnswerMargin
     // An answer after this is estimated to be worth nothing to the caller.
     instant mUsefulUntil{};
@@ -270,10 +277,13 @@
   void UpdateOwnDemand(instant aNow);
   // The forecast run time of a task on a backend server with a slowness of 1.
   static double ExpectedRunMs(const job& aJob, const job_step& aStep);
-  void ObserveRunTime(const job& aJob,
+  void ObserveRunTime(job& aJob,
                       const task_key& aKey,
                       uint32_t aRunMs,
                       double aSlowness);
+  // Derives the objective of a job all of whose tasks are done from the longest
+  // run time.
+  static void SettleObjective(job& aJob);
   void Enqueue(const job& aJob, const task_key& aKey);
   waiting_key WaitingKey(const job& aJob, const task_key& aKey) const;
   task& TaskOf(job& aJob, const task_key& aKey);
--- a/cactusmast/job_coordinator_executors.cc
+++ b/cactusmast/job_coordinator_executors.cc
@@ -275,6 +275,7 @@
       ObserveRunTime(owner, key, aEnd.run_ms(), slowness);
     }
     if (--owner.mUnfinishedTasks == 0) {
+      SettleObjective(owner);
       Finish(key.mJob, { job_ending::Completed, "", {} }, aNow);
     }
     return;
@@ -308,13 +309,17 @@
 }
 
 void
-job_coordinator::ObserveRunTime(const job& aJob,
+job_coordinator::ObserveRunTime(job& aJob,
                                 const task_key& aKey,
                                 uint32_t aRunMs,
                                 double aSlowness)
 {
+  if (aSlowness <= 0) {
+    return;
+  }
+  aJob.mLongestRunMs = std::max(aJob.mLongestRunMs, aRunMs / aSlowness);
   uint32_t declaredMs = aJob.mSubmission.mSteps[aKey.mStep].mDeclaredMs;
-  if (aJob.mCallerTimeoutMs <= 0 || declaredMs == 0 || aSlowness <= 0) {
+  if (aJob.mCallerTimeoutMs <= 0 || declaredMs == 0) {
     return;
   }
   mTimeoutModel.Observe(
--- a/shell/coordinator_daemon.cc
+++ b/shell/coordinator_daemon.cc
@@ -496,6 +496,12 @@
   aPage->Counter("cactusmast_jobs_expired",
                  "Jobs that ran out of time after a task may have started.",
                  double(counts.mExpired));
+  aPage->Counter("cactusmast_jobs_in_objective",
+                 "Completed jobs that met their objective.",
+                 double(counts.mInObjective));
+  aPage->Counter("cactusmast_jobs_late",
+                 "Completed jobs that missed their objective.",
+                 double(counts.mLate));
   aPage->Counter("cactusmast_jobs_given_up",
                  "Jobs whose callers disconnected.",
                  double(counts.mGivenUp));
