Outlier speeds take effect only where the settings ask for them

Cause: the part was on wherever it was not switched off; earlier deployments are to be served as before unless their settings ask for it.

--- a/cactusmast/instance_settings.cc
+++ b/cactusmast/instance_settings.cc
@@ -30,6 +30,11 @@
   std::vector<std::string> switchedOff;
   aReader.Names("switched_off", &switchedOff);
   aOut->mMechanisms = mechanism_set::AllBut(switchedOff).Value();
+  bool outlierSpeeds = false;
+  aReader.Flag("outlier_speeds", &outlierSpeeds);
+  if (!outlierSpeeds) {
+    aOut->mMechanisms.Disable(mechanism::OutlierSpeeds);
+  }
 }
 
 } // namespace
--- a/cactusmast/mechanisms.h
+++ b/cactusmast/mechanisms.h
@@ -57,6 +57,8 @@
   // All mechanisms except those named. Errors: BadRequest for an unknown name.
   static result<mechanism_set> AllBut(const std::vector<std::string>& aNames);
 
+  void Disable(mechanism aMechanism) { mDisabled.set(size_t(aMechanism)); }
+
   bool Has(mechanism aMechanism) const
   {
     return !mDisabled[size_t(aMechanism)];
--- a/cactusmast/testing/instance_parts_test.cc
+++ b/cactusmast/testing/instance_parts_test.cc
@@ -353,6 +353,7 @@
   REQUIRE(reduced.Ok());
   const mechanism_set& mechanisms = reduced.Value().mInstance.mMechanisms;
   CHECK(executor.Value().mStallDetection);
+  CHECK(mechanisms.Has(mechanism::OutlierSpeeds));
   CHECK_FALSE(mechanisms.Has(mechanism::EarlyReturn));
   CHECK_FALSE(mechanisms.Has(mechanism::LearnedSpeed));
   CHECK(mechanisms.Has(mechanism::ServerRecall));
--- a/cactusmast/testing/task_executor_test.cc
+++ b/cactusmast/testing/task_executor_test.cc
@@ -438,116 +438,116 @@
       milliseconds(90), { { started.mTask, started.mRunNumber, percent } });
   }
   CHECK(world.mRunner.mStops.empty());
+}
 
-  TEST_CASE(
-    "a single long task counts neither for the slowness nor for the mean "
-    "run time")
-  {
-    // Guards against entries that avoid a backend server, or wait for it too
-    // long, because of one task.
-    for (bool enabled : { true, false }) {
-      CAPTURE(enabled);
-      known_server world(
-        enabled ? mechanism_set()
-                : mechanism_set::AllBut({ "outlier_speeds" }).Value());
-      world.RunTasks(10, milliseconds(60));
-      double before = world.mExecutor.Slowness();
-      uint32_t meanBeforeMs = world.mLinks.mMeanRunMs;
-      world.RunTasks(1, milliseconds(420));
-      world.RunTasks(1, milliseconds(60));
-      bool same = std::abs(world.mExecutor.Slowness() / before - 1) < 0.1 &&
-                  world.mLinks.mMeanRunMs < 1.1 * meanBeforeMs;
-      CHECK(same == enabled);
-      CHECK(world.mExecutor.SlowOutliers() == (enabled ? 1 : 0));
-      CHECK(world.mEvents.mCounts[event_code::ServerSpeedChanged] == 0);
-    }
-  }
-
-  TEST_CASE("a backend server five times slower is known within five ends")
-  {
-    // Guards against dispatches to a backend server as if it were fast, and
-    // against learned_speed being without effect.
-    known_server world;
+TEST_CASE("a single long task counts neither for the slowness nor for the mean "
+          "run time")
+{
+  // Guards against entries that avoid a backend server, or wait for it too
+  // long, because of one task.
+  for (bool enabled : { true, false }) {
+    CAPTURE(enabled);
+    known_server world(enabled
+                         ? mechanism_set()
+                         : mechanism_set::AllBut({ "outlier_speeds" }).Value());
     world.RunTasks(10, milliseconds(60));
-    world.RunTasks(5, milliseconds(300));
-    CHECK(world.mExecutor.Slowness() == doctest::Approx(5).epsilon(0.1));
-    CHECK(world.mLinks.mMeanRunMs > 250);
-    world.RunTasks(5, milliseconds(60));
-    CHECK(world.mExecutor.Slowness() == doctest::Approx(1).epsilon(0.1));
-    CHECK(world.mEvents.mCounts[event_code::ServerSpeedChanged] == 2);
-
-    known_server unlearned(mechanism_set::AllBut({ "learned_speed" }).Value());
-    unlearned.RunTasks(10, milliseconds(60));
-    unlearned.RunTasks(5, milliseconds(300));
-    CHECK(unlearned.mExecutor.Slowness() == 1);
-    CHECK(unlearned.mEvents.mCounts[event_code::ServerSpeedChanged] == 0);
+    double before = world.mExecutor.Slowness();
+    uint32_t meanBeforeMs = world.mLinks.mMeanRunMs;
+    world.RunTasks(1, milliseconds(420));
+    world.RunTasks(1, milliseconds(60));
+    bool same = std::abs(world.mExecutor.Slowness() / before - 1) < 0.1 &&
+                world.mLinks.mMeanRunMs < 1.1 * meanBeforeMs;
+    CHECK(same == enabled);
+    CHECK(world.mExecutor.SlowOutliers() == (enabled ? 1 : 0));
+    CHECK(world.mEvents.mCounts[event_code::ServerSpeedChanged] == 0);
   }
+}
 
-  TEST_CASE("a new incarnation of a backend server starts as fast as declared")
-  {
-    // Guards against a restarted backend server that is judged by the speed of
-    // the former one.
-    known_server world;
-    world.RunTasks(5, milliseconds(300));
-    CHECK(world.mExecutor.Slowness() > 3);
-    server_announcement next;
-    next.mId = "i-2";
-    next.mStartTimeMs = 6;
-    next.mCapacity = { 32000, 1000, 0 };
-    world.mExecutor.OnAnnouncement(next, world.mNow);
-    CHECK(world.mExecutor.Slowness() == 1);
-  }
+TEST_CASE("a backend server five times slower is known within five ends")
+{
+  // Guards against dispatches to a backend server as if it were fast, and
+  // against learned_speed being without effect.
+  known_server world;
+  world.RunTasks(10, milliseconds(60));
+  world.RunTasks(5, milliseconds(300));
+  CHECK(world.mExecutor.Slowness() == doctest::Approx(5).epsilon(0.1));
+  CHECK(world.mLinks.mMeanRunMs > 250);
+  world.RunTasks(5, milliseconds(60));
+  CHECK(world.mExecutor.Slowness() == doctest::Approx(1).epsilon(0.1));
+  CHECK(world.mEvents.mCounts[event_code::ServerSpeedChanged] == 2);
+
+  known_server unlearned(mechanism_set::AllBut({ "learned_speed" }).Value());
+  unlearned.RunTasks(10, milliseconds(60));
+  unlearned.RunTasks(5, milliseconds(300));
+  CHECK(unlearned.mExecutor.Slowness() == 1);
+  CHECK(unlearned.mEvents.mCounts[event_code::ServerSpeedChanged] == 0);
+}
 
-  TEST_CASE("a task without a run time does not count for the slowness")
-  {
-    // Guards against lost tasks that are taken for long ones.
-    started_task world;
-    const start_request started = world.mRunner.mStarts.back();
-    world.ReplyToStart(start_result::Started);
-    world.AdvanceWithoutHeartbeat(
-      milliseconds(500), { { started.mTask, started.mRunNumber, 50 } });
-    world.mExecutor.Tick(world.mNow); // sends the next poll
-    world.ReplyToPoll(
-      {}, { { 1, started.mTask, started.mRunNumber, end_kind::LeaseExpired } });
-    CHECK(world.mExecutor.Running() == 0);
-    CHECK(world.mExecutor.Slowness() == 1);
-    CHECK(world.mExecutor.SlowOutliers() == 0);
-  }
+TEST_CASE("a new incarnation of a backend server starts as fast as declared")
+{
+  // Guards against a restarted backend server that is judged by the speed of
+  // the former one.
+  known_server world;
+  world.RunTasks(5, milliseconds(300));
+  CHECK(world.mExecutor.Slowness() > 3);
+  server_announcement next;
+  next.mId = "i-2";
+  next.mStartTimeMs = 6;
+  next.mCapacity = { 32000, 1000, 0 };
+  world.mExecutor.OnAnnouncement(next, world.mNow);
+  CHECK(world.mExecutor.Slowness() == 1);
+}
 
-  TEST_CASE("a slow backend server is known before any of its tasks ends")
-  {
-    // Guards against dispatches to a slow backend server until its tasks end.
-    known_server world;
-    world.RunTasks(10, milliseconds(60));
-    double before = world.mExecutor.Slowness();
-    world.Dispatch(nullptr, 4);
-    world.Advance(milliseconds(1));
-    std::vector<running_task> running;
-    for (uint32_t i = 0; i < 4; i++) {
-      running.push_back({ { 7, 0, i }, i == 0 ? 11u : 1u, 5 });
-    }
-    world.AdvanceWithoutHeartbeat(milliseconds(90), running);
-    CHECK(world.mExecutor.Slowness() == before);
-    for (running_task& task : running) {
-      task.mPercent = 40; // of 60 ms, after 120 ms
-    }
-    world.AdvanceWithoutHeartbeat(milliseconds(30), running);
-    CHECK(world.mExecutor.Slowness() == doctest::Approx(5).epsilon(0.2));
-    CHECK(world.mEvents.mCounts[event_code::ServerSpeedChanged] == 1);
-  }
+TEST_CASE("a task without a run time does not count for the slowness")
+{
+  // Guards against lost tasks that are taken for long ones.
+  started_task world;
+  const start_request started = world.mRunner.mStarts.back();
+  world.ReplyToStart(start_result::Started);
+  world.AdvanceWithoutHeartbeat(milliseconds(500),
+                                { { started.mTask, started.mRunNumber, 50 } });
+  world.mExecutor.Tick(world.mNow); // sends the next poll
+  world.ReplyToPoll(
+    {}, { { 1, started.mTask, started.mRunNumber, end_kind::LeaseExpired } });
+  CHECK(world.mExecutor.Running() == 0);
+  CHECK(world.mExecutor.Slowness() == 1);
+  CHECK(world.mExecutor.SlowOutliers() == 0);
+}
 
-  TEST_CASE(
-    "a backend server that has timed out is reported to every entry at once")
-  {
-    // Guards against entries without it in their subset, which would otherwise
-    // add it to the subset as ready.
-    known_server world;
-    world.mExecutor.Tick(world.mNow);
-    uint32_t before = world.mLinks.mReports;
-    world.mNow += milliseconds(400); // no poll gets a reply
-    world.mExecutor.Tick(world.mNow);
-    CHECK(world.mExecutor.State(world.mNow) == server_state::Absent);
-    CHECK(world.mLinks.mReports == before + 1);
+TEST_CASE("a slow backend server is known before any of its tasks ends")
+{
+  // Guards against dispatches to a slow backend server until its tasks end.
+  known_server world;
+  world.RunTasks(10, milliseconds(60));
+  double before = world.mExecutor.Slowness();
+  world.Dispatch(nullptr, 4);
+  world.Advance(milliseconds(1));
+  std::vector<running_task> running;
+  for (uint32_t i = 0; i < 4; i++) {
+    running.push_back({ { 7, 0, i }, i == 0 ? 11u : 1u, 5 });
   }
+  world.AdvanceWithoutHeartbeat(milliseconds(90), running);
+  CHECK(world.mExecutor.Slowness() == before);
+  for (running_task& task : running) {
+    task.mPercent = 40; // of 60 ms, after 120 ms
+  }
+  world.AdvanceWithoutHeartbeat(milliseconds(30), running);
+  CHECK(world.mExecutor.Slowness() == doctest::Approx(5).epsilon(0.2));
+  CHECK(world.mEvents.mCounts[event_code::ServerSpeedChanged] == 1);
+}
+
+TEST_CASE(
+  "a backend server that has timed out is reported to every entry at once")
+{
+  // Guards against entries without it in their subset, which would otherwise
+  // add it to the subset as ready.
+  known_server world;
+  world.mExecutor.Tick(world.mNow);
+  uint32_t before = world.mLinks.mReports;
+  world.mNow += milliseconds(400); // no poll gets a reply
+  world.mExecutor.Tick(world.mNow);
+  CHECK(world.mExecutor.State(world.mNow) == server_state::Absent);
+  CHECK(world.mLinks.mReports == before + 1);
+}
 
 } // namespace cactusmast::testing
