Scarce capacity is shared between routes by priority

With several seconds of more demand than capacity, one route could take the capacity of all others, because a route's priority only broke ties.

Off unless the settings have route_shares.

--- a/cactusmast/job_coordinator.cc
+++ b/cactusmast/job_coordinator.cc
@@ -134,6 +134,7 @@
   admitted.mSubmission = std::move(aRequest.mSubmission);
   admitted.mTable = std::move(aRequest.mTable);
   admitted.mRoute = aRequest.mRoute;
+  AttachShare(admitted);
   admitted.mAcceptedAt = aNow;
   // A timeout given by the caller holds even if it exceeds the route's timeout.
   // Otherwise tasks that run longer than the route's timeout would be stopped
@@ -248,7 +249,9 @@
       task_key key{ aJob.mId, uint32_t(s), uint32_t(i) };
       if (one.mState == task_state::Waiting) {
         mWaiting.erase(WaitingKey(aJob, key));
+        CountQueued(aJob, key.mStep, -1);
       } else if (one.mState == task_state::Placed) {
+        CountUsed(aJob, key.mStep, -1);
         stops[{ one.mExecutor, uint32_t(s) }].push_back(uint32_t(i));
         RemoveOpenTask(one.mExecutor, key);
       } else if (one.mState == task_state::Orphaned) {
@@ -403,6 +406,7 @@
   }
   ExpireOrphans(aNow);
   ExpireJobs(aNow);
+  UpdateShares(aNow);
   if (IsPlacementDue(aNow) && !mWaiting.empty()) {
     PlaceWaiting(aNow);
   }
--- a/cactusmast/job_coordinator.h
+++ b/cactusmast/job_coordinator.h
@@ -39,6 +39,7 @@
 #include "cactusmast/ports.h"
 #include "cactusmast/route_config.h"
 #include "cactusmast/route_demand.h"
+#include "cactusmast/route_shares.h"
 #include "cactusmast/task_executor.h"
 #include "cactusmast/timeout_model.h"
 
@@ -123,6 +124,7 @@
   uint64_t mAttempts = 0;   // tasks in them
   uint64_t mNotStarted = 0; // attempts that an executor did not start
   uint64_t mLost = 0;       // attempts orphaned by the loss of an executor
+  uint64_t mOverShare = 0;  // jobs refused because of their route's limit
   latency_histogram mCompletedIn;    // from acceptance to the answer
   latency_histogram mOtherEndingsIn; // the same for all other endings
 };
@@ -170,6 +172,8 @@
   void Tick(instant aNow);
 
   const demand_board& Demand() const { return mDemand; }
+  // The routes of open jobs and of own demand; empty unless shares are on.
+  const std::map<std::string, route_share>& Shares() const { return mShares; }
   const evacuation_tracker& Evacuations() const { return mEvacuations; }
   size_t OpenJobs() const { return mJobs.size(); }
   size_t WaitingTasks() const { return mWaiting.size(); }
@@ -214,6 +218,7 @@
     job_submission mSubmission;
     std::shared_ptr<const route_table> mTable;
     const route* mRoute = nullptr;
+    route_share* mShare = nullptr; // in mShares; null unless shares are on
     instant mAcceptedAt{};
     // When its caller first sent it, as far as can be estimated; earlier than
     // mAcceptedAt if it was resubmitted.
@@ -268,6 +273,35 @@
   void MeasureDemand(const job& aJob, instant aNow);
   // Brings the own demand on mDemand up to date.
   void UpdateOwnDemand(instant aNow);
+  // Whether scarce capacity is shared between routes.
+  bool SharesRoutes() const;
+  // Sets mShare of a new job.
+  void AttachShare(job& aJob);
+  // Keeps the newest table, from which priorities are taken.
+  void LearnRoutes(const std::shared_ptr<const route_table>& aTable);
+  // Recomputes the limits of the routes when that is due.
+  void UpdateShares(instant aNow);
+  // The claims of all routes known here, by service.
+  std::map<std::string, std::vector<route_claim>> ClaimsByService(
+    instant aNow) const;
+  // Processors of the ready backend servers by service, also of those outside
+  // the subsets.
+  std::map<std::string, double> CapacityByService() const;
+  void LogShares(instant aNow);
+  // Accounts for one task that is reserved (aSign 1) or no longer in use (-1).
+  void CountUsed(const job& aJob, uint32_t aStep, int aSign);
+  // Accounts for one task that begins (aSign 1) or ceases (-1) to wait.
+  void CountQueued(const job& aJob, uint32_t aStep, int aSign);
+  // Forecast work of one task, in core-microseconds.
+  static int64_t WorkMicros(const job& aJob, uint32_t aStep);
+  // Whether a further task of the job must not be placed now because its route
+  // has used up its limit and free capacity is scarce.
+  bool IsOverShare(const job& aJob);
+  // Queued work of its route before that of aJob, which is new.
+  int64_t WorkBeforeNew(const job& aJob) const;
+  // Refuses those jobs of mOverShareTasks whose turn would come too late.
+  // aAllTried: all waiting tasks were tried, not only those of one new job.
+  void RefuseOverShare(bool aAllTried, instant aNow);
   // The forecast run time of a task on a backend server with a slowness of 1.
   static double ExpectedRunMs(const job& aJob, const job_step& aStep);
   void ObserveRunTime(const job& aJob,
@@ -286,8 +320,10 @@
   // job.
   void PlaceNew(const job& aJob, instant aNow);
   // Places the tasks of aOrder, sends the dispatches and ends the jobs that are
-  // refused or infeasible.
-  void RunPlacement(const std::vector<task_key>& aOrder, instant aNow);
+  // refused or infeasible. aAllTried: aOrder has all waiting tasks.
+  void RunPlacement(const std::vector<task_key>& aOrder,
+                    bool aAllTried,
+                    instant aNow);
   // Returns all tasks that are unplaced after it.
   std::vector<task_key> UnplacePartialJobs(
     const std::vector<task_key>& aUnplaced);
@@ -305,7 +341,8 @@
   // capacity idle (MayWaitForAll). Returns the tasks of all other jobs.
   std::vector<task_key> ShedLate(const std::vector<task_key>& aLate,
                                  instant aNow);
-  // Returns the tasks that were not placed, in the same order.
+  // Returns the tasks that were not placed, in the same order, without those
+  // that it adds to mOverShareTasks.
   std::vector<task_key> TryPlace(const std::vector<task_key>& aOrder,
                                  placement_aim aAim,
                                  instant aNow);
@@ -383,6 +420,16 @@
   evacuation_tracker mEvacuations;
   demand_meter mDemandMeter;
   demand_board mDemand;
+  std::map<std::string, route_share> mShares;             // by route
+  std::shared_ptr<const route_table> mRoutes;             // the newest known
+  std::unordered_map<std::string, const route*> mByRoute; // into mRoutes
+  instant mNextSharesAt{};
+  std::map<std::string, double> mLoggedLimits; // in thousandths, by route
+  instant mSharesLoggedAt{};
+  // During placement: tasks that were skipped because of their route's limit,
+  // and the capacity by service as far as it was needed.
+  std::vector<task_key> mOverShareTasks;
+  std::map<std::string, service_capacity> mPlacementCapacity;
   slowness_summary mSlowness; // of mViews, as of the latest placement
   instant mNextTimeoutCheck{};
   // Reports or waiting tasks have come since all waiting tasks were last tried.
--- a/cactusmast/job_coordinator_executors.cc
+++ b/cactusmast/job_coordinator_executors.cc
@@ -94,6 +94,7 @@
   // It is no longer possible to know whether it was started.
   found->second.mAnyStarted = true;
   task& one = TaskOf(found->second, aKey);
+  CountUsed(found->second, aKey.mStep, -1);
   one.mState = task_state::Orphaned;
   one.mExecutor = 0;
   one.mOrphanedUntil = aUntil;
@@ -268,6 +269,7 @@
   job& owner = mJobs.at(key.mJob);
   task& one = *current;
   auto outcome = attempt_outcome(aEnd.outcome());
+  CountUsed(owner, key.mStep, -1);
   if (outcome == attempt_outcome::Done) {
     one.mState = task_state::Done;
     if (peerState != mExecutors.end()) {
--- a/cactusmast/job_coordinator_placement.cc
+++ b/cactusmast/job_coordinator_placement.cc
@@ -22,6 +22,7 @@
 job_coordinator::Enqueue(const job& aJob, const task_key& aKey)
 {
   mWaiting.insert(WaitingKey(aJob, aKey));
+  CountQueued(aJob, aKey.mStep, 1);
   mCapacityChanged = true;
 }
 
@@ -40,7 +41,7 @@
   for (const waiting_key& key : mWaiting) {
     order.push_back(std::get<2>(key));
   }
-  RunPlacement(order, aNow);
+  RunPlacement(order, true, aNow);
 }
 
 void
@@ -52,12 +53,16 @@
       order.push_back({ aJob.mId, uint32_t(s), uint32_t(i) });
     }
   }
-  RunPlacement(order, aNow);
+  RunPlacement(order, false, aNow);
 }
 
 void
-job_coordinator::RunPlacement(const std::vector<task_key>& aOrder, instant aNow)
+job_coordinator::RunPlacement(const std::vector<task_key>& aOrder,
+                              bool aAllTried,
+                              instant aNow)
 {
+  mOverShareTasks.clear();
+  mPlacementCapacity.clear();
   for (server_view& view : mViews) {
     view.mAgeMs = MsBetween(view.mReportedAt, aNow);
   }
@@ -71,6 +76,7 @@
   late = UnplacePartialJobs(late);
   std::vector<task_key> unplaced =
     TryPlace(ShedLate(late, aNow), placement_aim::BeforeDeadline, aNow);
+  RefuseOverShare(aAllTried, aNow);
   SendDispatches(aNow);
   ResizeSubsets(unplaced, aNow);
   std::set<uint64_t> infeasible = std::move(mInfeasibleJobs);
@@ -143,6 +149,8 @@
       mCounters.mAttempts--;
       task_key key{ id, stepNumber, index };
       mWaiting.insert(WaitingKey(aJob, key));
+      CountUsed(aJob, stepNumber, -1);
+      CountQueued(aJob, stepNumber, 1);
       aUnplaced->push_back(key);
     }
     at = mPendingDispatches.erase(at);
@@ -213,7 +221,12 @@
   uint32_t unplacedSteps = 0;
   uint32_t maxUnplacedSteps =
     mMechanisms.Has(mechanism::StuckLimit) ? kMaxUnplacedSteps : UINT32_MAX;
+  bool sharesRoutes = SharesRoutes();
   for (const task_key& key : aOrder) {
+    if (sharesRoutes && IsOverShare(mJobs.at(key.mJob))) {
+      mOverShareTasks.push_back(key);
+      continue;
+    }
     bool sameStep = std::make_pair(key.mJob, key.mStep) == unplacedStep;
     if (sameStep || unplacedSteps >= maxUnplacedSteps) {
       unplaced.push_back(key);
@@ -288,6 +301,8 @@
   view.mFree -= step.mSize;
   view.mUnreportedCpuMillis += step.mSize.mCpuMillis;
   mWaiting.erase(WaitingKey(aJob, aKey));
+  CountQueued(aJob, aKey.mStep, -1);
+  CountUsed(aJob, aKey.mStep, 1);
   one.mState = task_state::Reserved;
   one.mExecutor = view.mPeer;
   one.mAttempt++;
