--- a/cactusmast/job_coordinator.cc
+++ b/cactusmast/job_coordinator.cc
@@ -305,6 +305,7 @@
   switch (aOutcome.mEnding) {
     case job_ending::Completed:
       mCounters.mCompleted++;
+      mCounters.mDeferredCompleted += ended.mDeferred ? 1 : 0;
       break;
     case job_ending::Refused:
       mCounters.mRefused++;
@@ -406,7 +407,7 @@
   }
   ExpireOrphans(aNow);
   ExpireJobs(aNow);
-  UpdateShares(aNow);
+  UpdateOverload(aNow);
   if (IsPlacementDue(aNow) && !mWaiting.empty()) {
     PlaceWaiting(aNow);
   }
--- a/cactusmast/job_coordinator.h
+++ b/cactusmast/job_coordinator.h
@@ -32,6 +32,7 @@
 
 #include "cactusmast/evacuation.h"
 #include "cactusmast/executor_subset.h"
+#include "cactusmast/late_deferral.h"
 #include "cactusmast/latency_histogram.h"
 #include "cactusmast/mechanisms.h"
 #include "cactusmast/overload_settings.h"
@@ -125,6 +126,8 @@
   uint64_t mNotStarted = 0; // attempts that an executor did not start
   uint64_t mLost = 0;       // attempts orphaned by the loss of an executor
   uint64_t mOverShare = 0;  // jobs refused because of their route's limit
+  uint64_t mDeferred = 0;   // jobs that waited for spare capacity
+  uint64_t mDeferredCompleted = 0;   // jobs among them that were completed
   latency_histogram mCompletedIn;    // from acceptance to the answer
   latency_histogram mOtherEndingsIn; // the same for all other endings
 };
@@ -172,7 +175,8 @@
   void Tick(instant aNow);
 
   const demand_board& Demand() const { return mDemand; }
-  // The routes of open jobs and of own demand; empty unless shares are on.
+  // The routes of open jobs and of own demand; empty unless route_shares or
+  // late_deferral is on.
   const std::map<std::string, route_share>& Shares() const { return mShares; }
   const evacuation_tracker& Evacuations() const { return mEvacuations; }
   size_t OpenJobs() const { return mJobs.size(); }
@@ -218,7 +222,7 @@
     job_submission mSubmission;
     std::shared_ptr<const route_table> mTable;
     const route* mRoute = nullptr;
-    route_share* mShare = nullptr; // in mShares; null unless shares are on
+    route_share* mShare = nullptr; // in mShares; null if those are not kept
     instant mAcceptedAt{};
     // When its caller first sent it, as far as can be estimated; earlier than
     // mAcceptedAt if it was resubmitted.
@@ -234,6 +238,16 @@
     uint32_t mUnfinishedTasks = 0;         // tasks that are not done
     // An attempt was started, or was lost so that this is unknown.
     bool mAnyStarted = false;
+    // It can only be late and waits, or waited, for spare capacity.
+    bool mDeferred = false;
+  };
+
+  // What late jobs of a service may count on.
+  struct spare_capacity
+  {
+    demand_trend mTrend;
+    spare_forecast mForecast;
+    double mDeferredCoreMs = 0; // of the jobs deferred at the latest look
   };
 
   struct executor
@@ -273,17 +287,20 @@
   void MeasureDemand(const job& aJob, instant aNow);
   // Brings the own demand on mDemand up to date.
   void UpdateOwnDemand(instant aNow);
+  using service_claims = std::map<std::string, std::vector<route_claim>>;
+
   // Whether scarce capacity is shared between routes.
   bool SharesRoutes() const;
   // Sets mShare of a new job.
   void AttachShare(job& aJob);
   // Keeps the newest table, from which priorities are taken.
   void LearnRoutes(const std::shared_ptr<const route_table>& aTable);
-  // Recomputes the limits of the routes when that is due.
-  void UpdateShares(instant aNow);
+  // Recomputes limits and forecasts when that is due.
+  void UpdateOverload(instant aNow);
+  // aLimits: of all entries, by route.
+  void UpdateLimits(const std::map<std::string, double>& aLimits, instant aNow);
   // The claims of all routes known here, by service.
-  std::map<std::string, std::vector<route_claim>> ClaimsByService(
-    instant aNow) const;
+  service_claims ClaimsByService(instant aNow) const;
   // Processors of the ready backend servers by service, also of those outside
   // the subsets.
   std::map<std::string, double> CapacityByService() const;
@@ -302,6 +319,20 @@
   // Refuses those jobs of mOverShareTasks whose turn would come too late.
   // aAllTried: all waiting tasks were tried, not only those of one new job.
   void RefuseOverShare(bool aAllTried, instant aNow);
+  // Whether jobs that can only be late may wait for spare capacity.
+  bool DefersLate() const;
+  void UpdateSpare(const service_claims& aClaims,
+                   const std::map<std::string, double>& aCapacity,
+                   instant aNow);
+  // Whether a job that can only be late waits for spare capacity. Decided once
+  // in each placement.
+  bool MayDefer(job& aJob, instant aNow);
+  bool DecideDeferral(job& aJob, instant aNow);
+  // Those of aDeferred that may be placed: no task of their service waits that
+  // can meet its objective.
+  std::vector<task_key> PlaceableDeferred(
+    const std::vector<task_key>& aDeferred,
+    instant aNow) const;
   // The forecast run time of a task on a backend server with a slowness of 1.
   static double ExpectedRunMs(const job& aJob, const job_step& aStep);
   void ObserveRunTime(const job& aJob,
@@ -336,9 +367,10 @@
   const service_capacity& CapacityFor(
     const job& aJob,
     std::map<std::string_view, service_capacity>* aCapacities) const;
-  // While free capacity is scarce, refuses jobs that would be late and leaves
-  // those waiting that can still meet their objective, if that keeps little
-  // capacity idle (MayWaitForAll). Returns the tasks of all other jobs.
+  // While free capacity is scarce, refuses or defers jobs that would be late
+  // and leaves those waiting that can still meet their objective, if that keeps
+  // little capacity idle (MayWaitForAll). Returns the tasks of all other jobs,
+  // deferred ones last.
   std::vector<task_key> ShedLate(const std::vector<task_key>& aLate,
                                  instant aNow);
   // Returns the tasks that were not placed, in the same order, without those
@@ -423,13 +455,16 @@
   std::map<std::string, route_share> mShares;             // by route
   std::shared_ptr<const route_table> mRoutes;             // the newest known
   std::unordered_map<std::string, const route*> mByRoute; // into mRoutes
-  instant mNextSharesAt{};
+  instant mNextOverloadAt{};
   std::map<std::string, double> mLoggedLimits; // in thousandths, by route
   instant mSharesLoggedAt{};
   // During placement: tasks that were skipped because of their route's limit,
   // and the capacity by service as far as it was needed.
   std::vector<task_key> mOverShareTasks;
   std::map<std::string, service_capacity> mPlacementCapacity;
+  std::map<std::string, spare_capacity> mSpare; // by service
+  // During placement: whether jobs that can only be late wait.
+  std::map<uint64_t, bool> mDeferrals;
   slowness_summary mSlowness; // of mViews, as of the latest placement
   instant mNextTimeoutCheck{};
   // Reports or waiting tasks have come since all waiting tasks were last tried.
--- a/cactusmast/job_coordinator_placement.cc
+++ b/cactusmast/job_coordinator_placement.cc
@@ -63,6 +63,12 @@
 {
   mOverShareTasks.clear();
   mPlacementCapacity.clear();
+  mDeferrals.clear();
+  if (aAllTried) {
+    for (auto& [service, spare] : mSpare) {
+      spare.mDeferredCoreMs = 0;
+    }
+  }
   for (server_view& view : mViews) {
     view.mAgeMs = MsBetween(view.mReportedAt, aNow);
   }
@@ -177,14 +183,16 @@
     return aLate;
   }
   std::vector<task_key> remaining;
+  std::vector<task_key> last;     // of deferred jobs, may be placed
+  std::vector<task_key> deferred; // wait for spare capacity
   std::set<uint64_t> shed;
   std::map<std::string_view, service_capacity> capacities;
   for (const task_key& key : aLate) {
-    const job& owner = mJobs.at(key.mJob);
+    job& owner = mJobs.at(key.mJob);
     const service_capacity& capacity = CapacityFor(owner, &capacities);
     if (IsReservedOrDispatched(owner) ||
         capacity.FreeShare() >= kScarceFreeShare) {
-      remaining.push_back(key);
+      (owner.mDeferred ? last : remaining).push_back(key);
       continue;
     }
     // The job may be late only because the backend servers that can meet its
@@ -192,8 +200,10 @@
     // would be late on a backend server with a slowness of 1: on other backend
     // servers it would take the capacity of a job that can meet its objective
     // there.
-    bool late = std::get<0>(WaitingKey(owner, key)) <= aNow;
-    if (late) {
+    bool late = owner.mDeferred || std::get<0>(WaitingKey(owner, key)) <= aNow;
+    if (late && MayDefer(owner, aNow)) {
+      deferred.push_back(key);
+    } else if (late) {
       shed.insert(key.mJob);
     } else if (!MayWaitForAll(owner, capacity)) {
       remaining.push_back(key);
@@ -206,6 +216,11 @@
              kCapacityRetryAfter },
            aNow);
   }
+  remaining.insert(remaining.end(), last.begin(), last.end());
+  if (!deferred.empty()) {
+    last = PlaceableDeferred(deferred, aNow);
+    remaining.insert(remaining.end(), last.begin(), last.end());
+  }
   return remaining;
 }
 
@@ -238,8 +253,9 @@
     // Tasks that are late already are first in the order. They do not count as
     // unplaced steps; otherwise later tasks that can still meet their objective
     // would not be tried.
+    // Deferred jobs get only what the others leave.
     bool late = aAim == placement_aim::InObjective &&
-                !CanMeetObjective(request, mSlowness.mMin);
+                (owner.mDeferred || !CanMeetObjective(request, mSlowness.mMin));
     if (late) {
       unplaced.push_back(key);
       continue;
--- a/cactusmast/job_coordinator_shares.cc
+++ b/cactusmast/job_coordinator_shares.cc
@@ -73,7 +73,7 @@
 void
 job_coordinator::AttachShare(job& aJob)
 {
-  if (!SharesRoutes()) {
+  if (!SharesRoutes() && !DefersLate()) {
     return;
   }
   LearnRoutes(aJob.mTable);
@@ -86,10 +86,10 @@
   aJob.mShare = &share;
 }
 
-std::map<std::string, std::vector<route_claim>>
+job_coordinator::service_claims
 job_coordinator::ClaimsByService(instant aNow) const
 {
-  std::map<std::string, std::vector<route_claim>> claims;
+  service_claims claims;
   for (const std::string& name : mDemand.Routes(aNow)) {
     double millis = mDemand.Total(name, aNow).mOfferedMillis;
     auto configured = mByRoute.find(name);
@@ -119,19 +119,34 @@
 }
 
 void
-job_coordinator::UpdateShares(instant aNow)
+job_coordinator::UpdateOverload(instant aNow)
 {
-  if (!SharesRoutes() || aNow < mNextSharesAt) {
+  bool isOff = !SharesRoutes() && !DefersLate();
+  if (isOff || aNow < mNextOverloadAt) {
     return;
   }
-  mNextSharesAt = aNow + kShareInterval;
+  mNextOverloadAt = aNow + kShareInterval;
   UpdateOwnDemand(aNow);
-  std::map<std::string, double> limits;
+  auto claims = ClaimsByService(aNow);
   std::map<std::string, double> capacity = CapacityByService();
-  for (const auto& [service, claims] : ClaimsByService(aNow)) {
-    limits.merge(AllocateShares(
-      capacity[service], claims, mOverload.mGuaranteedPercent / 100.0));
+  std::map<std::string, double> limits;
+  for (const auto& [service, routes] : claims) {
+    if (SharesRoutes()) {
+      limits.merge(AllocateShares(
+        capacity[service], routes, mOverload.mGuaranteedPercent / 100.0));
+    }
+  }
+  UpdateLimits(limits, aNow);
+  LogShares(aNow);
+  if (DefersLate()) {
+    UpdateSpare(claims, capacity, aNow);
   }
+}
+
+void
+job_coordinator::UpdateLimits(const std::map<std::string, double>& aLimits,
+                              instant aNow)
+{
   const demand_by_route& own = mDemand.Own();
   for (auto at = mShares.begin(); at != mShares.end();) {
     auto ownDemand = own.find(at->first);
@@ -141,8 +156,8 @@
     }
     route_share& share = at->second;
     smoothed_limit::input input;
-    auto limit = limits.find(at->first);
-    if (limit != limits.end()) {
+    auto limit = aLimits.find(at->first);
+    if (limit != aLimits.end()) {
       input.mLimitMillis = limit->second;
     }
     input.mOwnDemandMillis = ownDemand->second.mOfferedMillis;
@@ -155,7 +170,6 @@
     mCapacityChanged |= share.mHeldTasks > 0;
     ++at;
   }
-  LogShares(aNow);
 }
 
 void
@@ -256,16 +270,18 @@
     if (found == mJobs.end() || refused.count(key.mJob) > 0) {
       continue;
     }
-    const job& owner = found->second;
+    job& owner = found->second;
     auto [work, isFirst] = ahead.try_emplace(owner.mShare, 0);
     if (isFirst && !aAllTried) {
       work->second = WorkBeforeNew(owner);
     }
     double waitMs = double(work->second) / owner.mShare->mLimit.Millis();
     instant turn = aNow + duration(int64_t(waitMs * 1000));
-    bool tooLate = std::get<0>(WaitingKey(owner, key)) <= turn;
+    bool tooLate =
+      owner.mDeferred || std::get<0>(WaitingKey(owner, key)) <= turn;
     // Capacity may have become free since the task was skipped.
-    if (tooLate && !IsReservedOrDispatched(owner) && IsOverShare(owner)) {
+    if (tooLate && !IsReservedOrDispatched(owner) && IsOverShare(owner) &&
+        !MayDefer(owner, aNow)) {
       refused[key.mJob] = waitMs;
       continue;
     }
