sized_world: several routes, overload settings and loads between entries

Cause: route shares and late deferral depend on several routes of one service and on the demand that entries know of each other. Change: SetRoutes, a route in Submit, overload_settings for the coordinators, the own demand of each entry to every other one each 300 ms if the settings ask for one of the parts, and CutEntries. The single route remains the default.

--- a/cactusmast/testing/sized_world.cc
+++ b/cactusmast/testing/sized_world.cc
@@ -10,6 +10,8 @@
 constexpr duration kStoreTick = milliseconds(100);
 constexpr duration kConnectInterval = milliseconds(100);
 constexpr duration kAnnouncementInterval = milliseconds(1500);
+constexpr duration kLoadInterval = milliseconds(300);
+constexpr size_t kMaxRoutesPerLoad = 64;
 
 } // namespace
 
@@ -17,23 +19,14 @@
                          size_t aServers,
                          uint32_t aSeed,
                          const mechanism_set& aMechanisms,
-                         size_t aDataCenters)
+                         size_t aDataCenters,
+                         const overload_settings& aOverload)
   : mMechanisms(aMechanisms)
   , mDataCenters(aDataCenters)
+  , mOverload(aOverload)
   , mRandom(aSeed)
 {
-  mConfig.mVersion = 1;
-  route onlyRoute;
-  onlyRoute.mName = "route";
-  onlyRoute.mHost = "host";
-  onlyRoute.mPrefix = "/";
-  onlyRoute.mService = "service";
-  onlyRoute.mTimeoutMs = 60000;
-  onlyRoute.mObjectiveBaseMs = 60;
-  onlyRoute.mObjectiveStretch = 1.6;
-  onlyRoute.mMaxAttempts = 3;
-  mConfig.mRoutes.push_back(onlyRoute);
-  mTable = std::make_shared<const route_table>(mConfig);
+  SetRoutes({ world_route{} });
   for (size_t i = 0; i < aServers; i++) {
     mServers.push_back(std::make_unique<fake_server>(*this, i));
   }
@@ -86,6 +79,27 @@
   }
 }
 
+void
+sized_world::SetRoutes(const std::vector<world_route>& aRoutes)
+{
+  mConfig.mVersion++;
+  mConfig.mRoutes.clear();
+  for (const world_route& one : aRoutes) {
+    route configured;
+    configured.mName = one.mName;
+    configured.mHost = "host";
+    configured.mPrefix = "/" + one.mName;
+    configured.mService = "service";
+    configured.mTimeoutMs = 60000;
+    configured.mObjectiveBaseMs = one.mObjectiveBaseMs;
+    configured.mObjectiveStretch = one.mObjectiveStretch;
+    configured.mPriority = one.mPriority;
+    configured.mMaxAttempts = 3;
+    mConfig.mRoutes.push_back(configured);
+  }
+  mTable = std::make_shared<const route_table>(mConfig);
+}
+
 void
 sized_world::SetRouteTimeout(uint32_t aTimeoutMs)
 {
@@ -157,6 +171,11 @@
       continue;
     }
     process->mCore->Tick(mNow);
+    bool sharesLoad = mOverload.mRouteShares || mOverload.mLateDeferral;
+    if (sharesLoad && mNow >= process->mNextLoad) {
+      process->mNextLoad = mNow + kLoadInterval;
+      SendLoad(*process);
+    }
     if (mNow < process->mNextHeartbeat) {
       continue;
     }
@@ -189,6 +208,35 @@
   }
 }
 
+void
+sized_world::SendLoad(entry& aFrom)
+{
+  auto load = std::make_shared<wire::entry_load_msg>();
+  load->sequence = ++aFrom.mLoadSequence;
+  load->demand = aFrom.mCore->EncodeOwnDemand(kMaxRoutesPerLoad, mNow);
+  std::string name = "entry" + std::to_string(aFrom.mIndex) + "/" +
+                     std::to_string(aFrom.mIncarnation);
+  for (size_t to = 0; to < mEntries.size(); to++) {
+    if (to == aFrom.mIndex) {
+      continue;
+    }
+    At(kMessageDelay, [this, from = aFrom.mIndex, to, name, load] {
+      if (!AreEntriesCut(from, to)) {
+        Deliver(false, to, [this, to, name, load] {
+          Coordinator(to).OnEntryLoad(name, *load, mNow);
+        });
+      }
+    });
+  }
+}
+
+bool
+sized_world::AreEntriesCut(size_t aEntry, size_t aOther) const
+{
+  auto found = mEntryCuts.find({ aEntry, aOther });
+  return found != mEntryCuts.end() && mNow < found->second;
+}
+
 bool
 sized_world::IsCut(size_t aEntry, size_t aServer) const
 {
--- a/cactusmast/testing/sized_world.h
+++ b/cactusmast/testing/sized_world.h
@@ -99,6 +99,15 @@
   std::vector<std::pair<uint64_t, std::function<void()>>> mWaitingPolls;
 };
 
+// What differs between the routes of a world.
+struct world_route
+{
+  std::string mName = "route";
+  uint32_t mPriority = 0;
+  uint32_t mObjectiveBaseMs = 60;
+  double mObjectiveStretch = 1.6;
+};
+
 // One submission of a job, and the answer that its caller got.
 struct caller_record
 {
@@ -118,7 +127,8 @@
               size_t aServers,
               uint32_t aSeed,
               const mechanism_set& aMechanisms = {},
-              size_t aDataCenters = 1);
+              size_t aDataCenters = 1,
+              const overload_settings& aOverload = {});
   ~sized_world();
 
   // The data centres are named "a", "b" and so on. Entries and backend servers
@@ -129,16 +139,20 @@
   instant Now() const { return mNow; }
   void At(duration aFromNow, std::function<void()> aDo);
 
-  // Sets the timeout of the only route, which is 60 s before.
+  // From now on jobs are submitted to these routes of the one service; before,
+  // there is one route with the default values.
+  void SetRoutes(const std::vector<world_route>& aRoutes);
+  // Sets the timeout of the first route, which is 60 s before.
   void SetRouteTimeout(uint32_t aTimeoutMs);
   // Submits a job of aTasks tasks that take aWorkMs each, and resubmits it to
   // another entry 1300 ms after its entry was killed. aDeclaredMs: declared run
-  // time; 0: aWorkMs. Returns the job.
+  // time; 0: aWorkMs. aRoute: index of its route. Returns the job.
   uint64_t Submit(size_t aEntry,
                   uint32_t aTasks,
                   uint32_t aWorkMs,
                   uint32_t aDeadlineMs = 1500,
-                  uint32_t aDeclaredMs = 0);
+                  uint32_t aDeclaredMs = 0,
+                  size_t aRoute = 0);
   // From now on callers that resubmit a job wait only for what is left of their
   // timeout, and do not resubmit it when that has passed.
   void CountDownTimeouts() { mCountDownTimeouts = true; }
@@ -154,6 +168,8 @@
   void PauseExecutor(size_t aServer, duration aSpan);
   // For aSpan messages between the two are lost and new connections fail.
   void Cut(size_t aEntry, size_t aServer, duration aSpan);
+  // For aSpan the loads that the two send each other are lost.
+  void CutEntries(size_t aEntry, size_t aOther, duration aSpan);
   // Evacuate adds an operator's row to the store, EndEvacuation removes it.
   // From one second after the row is added, no task may start in the data
   // centre.
@@ -212,6 +228,8 @@
   void OnTaskEnd(const task_key& aTask, end_kind aHow);
   void ConnectAll();
   void TickAll();
+  // Sends the load of the entry to all others.
+  void SendLoad(entry& aFrom);
   void Send(peer_id aLink, bool aToExecutor, std::function<void()> aDeliver);
   void Deliver(bool aToExecutor, size_t aIndex, std::function<void()> aDo);
   void CloseLink(peer_id aLink, bool aNotifyEntry, bool aNotifyExecutor);
@@ -220,10 +238,12 @@
   void SubmitTo(const job_request& aRequest, size_t aEntry);
   void OnAnswer(caller_id aCaller, const job_outcome& aOutcome);
   bool IsCut(size_t aEntry, size_t aServer) const;
+  bool AreEntriesCut(size_t aEntry, size_t aOther) const;
   void SyncEvacuations();
 
   mechanism_set mMechanisms;
   size_t mDataCenters;
+  overload_settings mOverload;
   evacuation_state mStore{ 1, {} };
   std::map<std::string, instant> mEvacuatedAt;
   duration mMaxEvacuationAge = std::chrono::seconds(1);
@@ -240,6 +260,7 @@
   std::vector<std::unique_ptr<fake_server>> mServers;
   std::map<peer_id, link> mLinks;
   std::map<std::pair<size_t, size_t>, instant> mCuts;
+  std::map<std::set<size_t>, instant> mEntryCuts;
   peer_id mNextLink = 1;
   size_t mClosedLinks = 0;
   size_t mMessagesOut = 0;
@@ -249,6 +270,7 @@
   std::shared_ptr<const route_table> mTable;
   std::vector<caller_record> mCallers; // by caller_id
   std::map<uint64_t, job_submission> mJobs;
+  std::map<uint64_t, size_t> mJobRoutes;
   std::map<uint64_t, uint32_t> mDeadlines;
   std::map<uint64_t, instant> mFirstSentAt;
   bool mCountDownTimeouts = false;
--- a/cactusmast/testing/sized_world_callers.cc
+++ b/cactusmast/testing/sized_world_callers.cc
@@ -11,7 +11,8 @@
                     uint32_t aTasks,
                     uint32_t aWorkMs,
                     uint32_t aDeadlineMs,
-                    uint32_t aDeclaredMs)
+                    uint32_t aDeclaredMs,
+                    size_t aRoute)
 {
   uint64_t job = mJobs.size() + 1;
   job_submission submission;
@@ -22,6 +23,7 @@
   step.mDeclaredMs = aDeclaredMs > 0 ? aDeclaredMs : aWorkMs;
   submission.mSteps.push_back(step);
   mJobs[job] = submission;
+  mJobRoutes[job] = aRoute;
   mDeadlines[job] = aDeadlineMs;
   mFirstSentAt[job] = mNow;
   Resubmit(job, aEntry);
@@ -59,7 +61,7 @@
   request.mJob = aJob;
   request.mSubmission = mJobs[aJob];
   request.mTable = mTable;
-  request.mRoute = &mTable->Config().mRoutes[0];
+  request.mRoute = &mTable->Config().mRoutes[mJobRoutes[aJob]];
   request.mCallerTimeoutMs = RemainingTimeoutMs(aJob);
   SubmitTo(request, aEntry);
 }
--- a/cactusmast/testing/sized_world_faults.cc
+++ b/cactusmast/testing/sized_world_faults.cc
@@ -53,6 +53,12 @@
   }
 }
 
+void
+sized_world::CutEntries(size_t aEntry, size_t aOther, duration aSpan)
+{
+  mEntryCuts[{ aEntry, aOther }] = mNow + aSpan;
+}
+
 void
 sized_world::TimeOutLink(peer_id aLink)
 {
--- a/cactusmast/testing/sized_world_parts.h
+++ b/cactusmast/testing/sized_world_parts.h
@@ -23,7 +23,8 @@
                                               *this,
                                               *this,
                                               aWorld.mEvents,
-                                              aWorld.mMechanisms))
+                                              aWorld.mMechanisms,
+                                              aWorld.mOverload))
   {
   }
 
@@ -79,6 +80,8 @@
   bool mUp = true;
   instant mPausedUntil{};
   instant mNextHeartbeat{};
+  instant mNextLoad{};
+  uint64_t mLoadSequence = 0;
   instant mStoreBackAt{}; // when the store replies to this entry again
   std::unique_ptr<job_coordinator> mCore;
 };
