Random failures with route shares, late deferral and cuts between entries

Cause: tasks that are held back or deferred must not break an invariant when machines and links fail. Change: the random failures are a function of the routes and kinds of faults; the former test calls it with the former random numbers, a new one with three routes, both settings and cuts between entries.

--- a/cactusmast/testing/sized_job_test.cc
+++ b/cactusmast/testing/sized_job_test.cc
@@ -18,6 +18,79 @@
   }
 }
 
+// Faults of kinds below this concern processes, backend servers and the links
+// between them; kind kFaultsOfMachines is a cut between two entries.
+constexpr uint32_t kFaultsOfMachines = 7;
+
+void
+InjectFault(sized_world* aWorld,
+            uint32_t aKind,
+            size_t aEntry,
+            size_t aServer,
+            duration aSpan)
+{
+  switch (aKind) {
+    case 0:
+      aWorld->KillEntry(aEntry, aSpan);
+      break;
+    case 1:
+      aWorld->KillExecutor(aServer, aSpan);
+      break;
+    case 2:
+      aWorld->PauseEntry(aEntry, aSpan);
+      break;
+    case 3:
+      aWorld->PauseExecutor(aServer, aSpan);
+      break;
+    case 4:
+      aWorld->Cut(aEntry, aServer, aSpan);
+      break;
+    case 5:
+      aWorld->Server(aServer).mUnansweredShare = 0.08;
+      break;
+    case 6:
+      aWorld->Server(aServer).mDown = true;
+      aWorld->Server(aServer).Crash();
+      aWorld->At(aSpan,
+                 [aWorld, aServer] { aWorld->Server(aServer).mDown = false; });
+      break;
+    default:
+      aWorld->CutEntries(aEntry, (aEntry + 1) % aWorld->Entries(), aSpan);
+      break;
+  }
+}
+
+// Runs a world of 3 entries and 5 backend servers for 13 s, with load on
+// aRoutes routes and faults of kinds below aFaultKinds in the first 8 s.
+void
+PlayRandomFailures(sized_world* aWorld,
+                   uint32_t aSeed,
+                   size_t aRoutes,
+                   uint32_t aFaultKinds)
+{
+  std::mt19937 random(aSeed * 7919);
+  auto randomBelow = [&random](uint32_t aLimit) { return random() % aLimit; };
+  for (size_t i = 0; i < 300; i++) {
+    uint32_t tasks = 1 + randomBelow(8);
+    uint32_t runMs = randomBelow(4) == 0 ? 900 : 60 + randomBelow(200);
+    aWorld->At(milliseconds(randomBelow(8000)),
+               [aWorld, i, tasks, runMs, aRoutes] {
+                 aWorld->Submit(i % 3, tasks, runMs, 1500, 0, i / 3 % aRoutes);
+               });
+  }
+  for (int i = 0; i < 8; i++) {
+    size_t server = randomBelow(5);
+    size_t entry = randomBelow(3);
+    uint32_t kind = randomBelow(aFaultKinds);
+    auto faultDuration = milliseconds(50 + randomBelow(2500));
+    aWorld->At(milliseconds(randomBelow(8000)),
+               [aWorld, kind, entry, server, faultDuration] {
+                 InjectFault(aWorld, kind, entry, server, faultDuration);
+               });
+  }
+  aWorld->Run(seconds(13));
+}
+
 } // namespace
 
 TEST_CASE("without faults every job completes within its objective")
@@ -332,52 +405,28 @@
   for (uint32_t seed = 1; seed <= 60; seed++) {
     CAPTURE(seed);
     sized_world world(3, 5, seed);
-    std::mt19937 random(seed * 7919);
-    auto randomBelow = [&random](uint32_t aLimit) { return random() % aLimit; };
-    for (int i = 0; i < 300; i++) {
-      uint32_t tasks = 1 + randomBelow(8);
-      uint32_t runMs = randomBelow(4) == 0 ? 900 : 60 + randomBelow(200);
-      world.At(milliseconds(randomBelow(8000)), [&world, i, tasks, runMs] {
-        world.Submit(size_t(i) % 3, tasks, runMs);
-      });
-    }
-    for (int i = 0; i < 8; i++) {
-      size_t server = randomBelow(5);
-      size_t entry = randomBelow(3);
-      uint32_t kind = randomBelow(7);
-      auto faultDuration = milliseconds(50 + randomBelow(2500));
-      world.At(milliseconds(randomBelow(8000)),
-               [&world, server, entry, kind, faultDuration] {
-                 switch (kind) {
-                   case 0:
-                     world.KillEntry(entry, faultDuration);
-                     break;
-                   case 1:
-                     world.KillExecutor(server, faultDuration);
-                     break;
-                   case 2:
-                     world.PauseEntry(entry, faultDuration);
-                     break;
-                   case 3:
-                     world.PauseExecutor(server, faultDuration);
-                     break;
-                   case 4:
-                     world.Cut(entry, server, faultDuration);
-                     break;
-                   case 5:
-                     world.Server(server).mUnansweredShare = 0.08;
-                     break;
-                   default:
-                     world.Server(server).mDown = true;
-                     world.Server(server).Crash();
-                     world.At(faultDuration, [&world, server] {
-                       world.Server(server).mDown = false;
-                     });
-                     break;
-                 }
-               });
+    PlayRandomFailures(&world, seed, 1, kFaultsOfMachines);
+    CheckNoViolations(world);
+    if (!world.Violations().empty()) {
+      return;
     }
-    world.Run(seconds(13));
+  }
+}
+
+TEST_CASE("random failures with route shares and late deferral violate no "
+          "invariant")
+{
+  // Guards against a task that is held back or deferred and then started twice,
+  // or after its job was refused. Links between entries fail too.
+  overload_settings settings;
+  settings.mRouteShares = true;
+  settings.mGuaranteedPercent = 10;
+  settings.mLateDeferral = true;
+  for (uint32_t seed = 1; seed <= 60; seed++) {
+    CAPTURE(seed);
+    sized_world world(3, 5, seed, {}, 1, settings);
+    world.SetRoutes({ { "urgent", 0 }, { "middle", 1 }, { "long", 2 } });
+    PlayRandomFailures(&world, seed, 3, kFaultsOfMachines + 1);
     CheckNoViolations(world);
     if (!world.Violations().empty()) {
       return;
