--- a/cactusmast/job_coordinator_placement.cc
+++ b/cactusmast/job_coordinator_placement.cc
@@ -41,6 +41,9 @@
   for (const waiting_key& key : mWaiting) {
     order.push_back(std::get<2>(key));
   }
+  if (HasLimits()) {
+    OrderByPriority(&order, aNow);
+  }
   RunPlacement(order, true, aNow);
 }
 
--- a/cactusmast/job_coordinator_shares.cc
+++ b/cactusmast/job_coordinator_shares.cc
@@ -14,6 +14,10 @@
 
 namespace {
 
+// Limits are enforced only while less than kScarceFreeShare is free. If they
+// added up to more than the rest, they would not keep any capacity free for
+// short tasks.
+constexpr double kSharedCapacity = 1 - kScarceFreeShare;
 constexpr char kOverShare[] = "its route is over its share of the capacity";
 // Changes of a limit below this share of it are not logged.
 constexpr double kMinLoggedChange = 0.25;
@@ -130,10 +134,12 @@
   auto claims = ClaimsByService(aNow);
   std::map<std::string, double> capacity = CapacityByService();
   std::map<std::string, double> limits;
+  // The guarantee is a share of the whole capacity.
+  double guarantee = mOverload.mGuaranteedPercent / 100.0 / kSharedCapacity;
   for (const auto& [service, routes] : claims) {
     if (SharesRoutes()) {
-      limits.merge(AllocateShares(
-        capacity[service], routes, mOverload.mGuaranteedPercent / 100.0));
+      limits.merge(
+        AllocateShares(kSharedCapacity * capacity[service], routes, guarantee));
     }
   }
   UpdateLimits(limits, aNow);
@@ -230,6 +236,28 @@
   }
 }
 
+bool
+job_coordinator::HasLimits() const
+{
+  return std::any_of(mShares.begin(), mShares.end(), [](const auto& aShare) {
+    return aShare.second.mLimit.IsLimited();
+  });
+}
+
+void
+job_coordinator::OrderByPriority(std::vector<task_key>* aOrder,
+                                 instant aNow) const
+{
+  auto late = mWaiting.lower_bound({ aNow, 0, task_key{} });
+  auto lateTasks = std::distance(mWaiting.begin(), late);
+  std::stable_sort(aOrder->begin() + lateTasks,
+                   aOrder->end(),
+                   [this](const task_key& aOne, const task_key& aOther) {
+                     return mJobs.at(aOne.mJob).mRoute->mPriority <
+                            mJobs.at(aOther.mJob).mRoute->mPriority;
+                   });
+}
+
 bool
 job_coordinator::IsOverShare(const job& aJob)
 {
--- a/shell/coordinator_daemon.cc
+++ b/shell/coordinator_daemon.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "cactusmast/time_spans.h"
+#include "shell/share_metrics.h"
 
 namespace cactusmast {
 namespace {
@@ -526,6 +527,7 @@
   aPage->Gauge("cactusmast_servers_placeable",
                "Backend servers that tasks are placed on.",
                double(mCoordinator.PlaceableServers()));
+  AddShareMetrics(mCoordinator, aPage);
   AddEvacuationMetrics(mCoordinator.Evacuations(), Now(), aPage);
   aPage->Gauge("cactusmast_store_available",
                "1 if the store answers, else 0.",
