--- a/cactusmast/job_coordinator_placement.cc
+++ b/cactusmast/job_coordinator_placement.cc
@@ -22,6 +22,7 @@
 job_coordinator::Enqueue(const job& aJob, const task_key& aKey)
 {
   mWaiting.insert(WaitingKey(aJob, aKey));
+  CountQueued(aJob, aKey.mStep, 1);
   mCapacityChanged = true;
 }
 
@@ -37,10 +38,14 @@
   mCapacityChanged = false;
   mLastPlacementAt = aNow;
   std::vector<task_key> order;
-  for (const waiting_key& key : mWaiting) {
-    order.push_back(std::get<2>(key));
+  if (HasLimits()) {
+    order = OrderByPriority(aNow);
+  } else {
+    for (const waiting_key& key : mWaiting) {
+      order.push_back(std::get<2>(key));
+    }
   }
-  RunPlacement(order, aNow);
+  RunPlacement(order, true, aNow);
 }
 
 void
@@ -52,12 +57,22 @@
       order.push_back({ aJob.mId, uint32_t(s), uint32_t(i) });
     }
   }
-  RunPlacement(order, aNow);
+  RunPlacement(order, false, aNow);
 }
 
 void
-job_coordinator::RunPlacement(const std::vector<task_key>& aOrder, instant aNow)
+job_coordinator::RunPlacement(const std::vector<task_key>& aOrder,
+                              bool aAllTried,
+                              instant aNow)
 {
+  mOverShareTasks.clear();
+  mPlacementCapacity.clear();
+  mDeferrals.clear();
+  if (aAllTried) {
+    for (auto& [service, spare] : mSpare) {
+      spare.mDeferredCoreMs = 0;
+    }
+  }
   for (server_view& view : mViews) {
     view.mAgeMs = MsBetween(view.mReportedAt, aNow);
   }
@@ -71,6 +86,7 @@
   late = UnplacePartialJobs(late);
   std::vector<task_key> unplaced =
     TryPlace(ShedLate(late, aNow), placement_aim::BeforeDeadline, aNow);
+  RefuseOverShare(aAllTried, aNow);
   SendDispatches(aNow);
   ResizeSubsets(unplaced, aNow);
   std::set<uint64_t> infeasible = std::move(mInfeasibleJobs);
@@ -143,6 +159,8 @@
       mCounters.mAttempts--;
       task_key key{ id, stepNumber, index };
       mWaiting.insert(WaitingKey(aJob, key));
+      CountUsed(aJob, stepNumber, -1);
+      CountQueued(aJob, stepNumber, 1);
       aUnplaced->push_back(key);
     }
     at = mPendingDispatches.erase(at);
@@ -169,14 +187,16 @@
     return aLate;
   }
   std::vector<task_key> remaining;
+  std::vector<task_key> last;     // of deferred jobs, may be placed
+  std::vector<task_key> deferred; // wait for spare capacity
   std::set<uint64_t> shed;
   std::map<std::string_view, service_capacity> capacities;
   for (const task_key& key : aLate) {
-    const job& owner = mJobs.at(key.mJob);
+    job& owner = mJobs.at(key.mJob);
     const service_capacity& capacity = CapacityFor(owner, &capacities);
     if (IsReservedOrDispatched(owner) ||
         capacity.FreeShare() >= kScarceFreeShare) {
-      remaining.push_back(key);
+      (owner.mDeferred ? last : remaining).push_back(key);
       continue;
     }
     // The job may be late only because the backend servers that can meet its
@@ -184,8 +204,10 @@
     // would be late on a backend server with a slowness of 1: on other backend
     // servers it would take the capacity of a job that can meet its objective
     // there.
-    bool late = std::get<0>(WaitingKey(owner, key)) <= aNow;
-    if (late) {
+    bool late = owner.mDeferred || std::get<0>(WaitingKey(owner, key)) <= aNow;
+    if (late && MayDefer(owner, aNow)) {
+      deferred.push_back(key);
+    } else if (late) {
       shed.insert(key.mJob);
     } else if (!MayWaitForAll(owner, capacity)) {
       remaining.push_back(key);
@@ -198,6 +220,11 @@
              kCapacityRetryAfter },
            aNow);
   }
+  remaining.insert(remaining.end(), last.begin(), last.end());
+  if (!deferred.empty()) {
+    last = PlaceableDeferred(deferred, aNow);
+    remaining.insert(remaining.end(), last.begin(), last.end());
+  }
   return remaining;
 }
 
@@ -213,7 +240,12 @@
   uint32_t unplacedSteps = 0;
   uint32_t maxUnplacedSteps =
     mMechanisms.Has(mechanism::StuckLimit) ? kMaxUnplacedSteps : UINT32_MAX;
+  bool sharesRoutes = SharesRoutes();
   for (const task_key& key : aOrder) {
+    if (sharesRoutes && IsOverShare(mJobs.at(key.mJob))) {
+      mOverShareTasks.push_back(key);
+      continue;
+    }
     bool sameStep = std::make_pair(key.mJob, key.mStep) == unplacedStep;
     if (sameStep || unplacedSteps >= maxUnplacedSteps) {
       unplaced.push_back(key);
@@ -225,8 +257,9 @@
     // Tasks that are late already are first in the order. They do not count as
     // unplaced steps; otherwise later tasks that can still meet their objective
     // would not be tried.
+    // Deferred jobs get only what the others leave.
     bool late = aAim == placement_aim::InObjective &&
-                !CanMeetObjective(request, mSlowness.mMin);
+                (owner.mDeferred || !CanMeetObjective(request, mSlowness.mMin));
     if (late) {
       unplaced.push_back(key);
       continue;
@@ -288,6 +321,8 @@
   view.mFree -= step.mSize;
   view.mUnreportedCpuMillis += step.mSize.mCpuMillis;
   mWaiting.erase(WaitingKey(aJob, aKey));
+  CountQueued(aJob, aKey.mStep, -1);
+  CountUsed(aJob, aKey.mStep, 1);
   one.mState = task_state::Reserved;
   one.mExecutor = view.mPeer;
   one.mAttempt++;
