An overloaded entry forwards jobs to larger entries

Callers are assigned to entries regardless of their size, so a small entry's loop cannot keep up while others are half idle. With job_forwarding an entry measures the busy share of its main loop, forwards a growing fraction of its new jobs undecoded to larger entries with spare processors, and passes their answers on.

--- a/cactusmast/job_coordinator.h
+++ b/cactusmast/job_coordinator.h
@@ -172,6 +172,7 @@
   const demand_board& Demand() const { return mDemand; }
   const evacuation_tracker& Evacuations() const { return mEvacuations; }
   size_t OpenJobs() const { return mJobs.size(); }
+  bool IsOpen(uint64_t aJob) const { return mJobs.count(aJob) > 0; }
   size_t WaitingTasks() const { return mWaiting.size(); }
   // The number of open jobs of aRoute of which no task was dispatched.
   uint32_t UndispatchedJobs(const std::string& aRoute) const;
--- a/shell/coordinator_config.cc
+++ b/shell/coordinator_config.cc
@@ -21,7 +21,9 @@
                                    entry_peer& aState,
                                    const message& aMessage)
 {
-  aState.mLastHeard = Now();
+  if (mOldInputTurns == 0) {
+    aState.mLastHeard = Now();
+  }
   switch (aMessage.type) {
     case message_kind::entry_pulse:
       OnEntryHeartbeat(aPeer, aState, *aMessage.Asentry_pulse());
@@ -42,6 +44,15 @@
       OnConfigCopy(aState, whole.version, whole.text);
       break;
     }
+    case message_kind::forward_job:
+      OnForwardJob(aPeer, *aMessage.Asforward_job());
+      break;
+    case message_kind::forward_answer:
+      OnForwardAnswer(aPeer, *aMessage.Asforward_answer());
+      break;
+    case message_kind::forward_cancel:
+      OnForwardCancel(aPeer, aMessage.Asforward_cancel()->number);
+      break;
     default:
       break;
   }
@@ -61,6 +72,9 @@
   mCoordinator.OnEvacuations(
     DecodeEvacuations(aHeartbeat.evacuating.get(), Now()), Now());
   AddEntries(aHeartbeat.entries, aState.mAddress, Now());
+  if (aHeartbeat.load != nullptr) {
+    OnEntryCapacity(aPeer, *aHeartbeat.load);
+  }
 }
 
 void
--- a/shell/coordinator_daemon.cc
+++ b/shell/coordinator_daemon.cc
@@ -60,6 +60,7 @@
       [this](const table_change& aChange) { OnEntryRows(aChange); },
       mLog)
   , mConfigFetcher(*this)
+  , mForwardingPolicy(aSettings.mProcessorMillis, *this)
 {
 }
 
@@ -79,13 +80,18 @@
 coordinator_daemon::Open()
 {
   OpenInstance();
+  if (IsForwardingOn()) {
+    mBusySource = mAdapter.mBusySource != nullptr ? mAdapter.mBusySource
+                                                  : &loop_load::OfMainContext();
+  }
   mFront =
     std::move(http_server::Create(
                 mSettings.mFront,
                 kMaxRequestBytes,
                 [this](http_exchange& aExchange) { OnRequest(aExchange); },
                 [this](uint64_t aId) {
-                  mCoordinator.OnCallerDisconnected(aId);
+                  CheckStandstill();
+                  OnCallerGone(aId);
                   TickSoon();
                 })
                 .Value());
@@ -203,12 +209,14 @@
 {
   mConfigFetcher.Remove(aPeer);
   mConfigProvider.Remove(aPeer);
+  EndForwards(aPeer);
   mEntryPeers.erase(aPeer);
 }
 
 void
 coordinator_daemon::OnPeerMessage(peer_id aPeer, const message& aMessage)
 {
+  CheckStandstill();
   auto entry = mEntryPeers.find(aPeer);
   if (entry != mEntryPeers.end()) {
     OnEntryMessage(aPeer, entry->second, aMessage);
@@ -401,7 +409,14 @@
 void
 coordinator_daemon::OnTick()
 {
+  CheckStandstill();
   instant now = Now();
+  if (IsForwardingOn()) {
+    // Before any task is placed: those of a silent entry must not start.
+    CheckEntryTimeouts(now);
+    UpdateForwarding(now);
+    mOldInputTurns -= mOldInputTurns > 0 ? 1 : 0;
+  }
   CheckSettingsFile(now);
   mConfigWatcher.Tick(now);
   mEntryWatcher.Tick(now);
@@ -451,7 +466,7 @@
 coordinator_daemon::IsDrained()
 {
   return !AcceptsJobs() && mCoordinator.OpenJobs() == 0 &&
-         mFront->OpenExchanges() == 0;
+         mSentJobs.Size() == 0 && mFront->OpenExchanges() == 0;
 }
 
 bool
@@ -465,6 +480,7 @@
 {
   mLog.Emit(event_code::DrainDeadline,
             { { "open_jobs", std::to_string(mCoordinator.OpenJobs()) } });
+  AbortForwards();
   mCoordinator.EndAll("this process ends", Now());
   for (caller_id held : mHeldRequests.TakeAll()) {
     RefuseUnconfigured(held);
@@ -526,6 +542,7 @@
   aPage->Gauge("cactusmast_servers_placeable",
                "Backend servers that tasks are placed on.",
                double(mCoordinator.PlaceableServers()));
+  AddForwardingMetrics(aPage);
   AddEvacuationMetrics(mCoordinator.Evacuations(), Now(), aPage);
   aPage->Gauge("cactusmast_store_available",
                "1 if the store answers, else 0.",
--- a/shell/coordinator_daemon.h
+++ b/shell/coordinator_daemon.h
@@ -12,12 +12,15 @@
 
 #include "cactusmast/caller_codec.h"
 #include "cactusmast/config_exchange.h"
+#include "cactusmast/forwarded_jobs.h"
+#include "cactusmast/forwarding_policy.h"
 #include "cactusmast/job_coordinator.h"
 #include "cactusmast/route_config.h"
 #include "cactusmast/startup_queue.h"
 #include "cactusmast/stored_row.h"
 #include "cactusmast/table_watcher.h"
 #include "shell/instance_daemon.h"
+#include "shell/loop_load.h"
 
 namespace cactusmast {
 
@@ -39,6 +42,8 @@
   config_holder::decoder mDecodeConfig;
   const evacuation_codec& mEvacuations;
   store_layout mLayout;
+  // Null: the main loop's load (loop_load).
+  const busy_source* mBusySource = nullptr;
 };
 
 // Serves callers, and connects the job_coordinator to its executors, the other
@@ -109,6 +114,15 @@
     instant mSentAt{}; // last message to it; each counts as a heartbeat
   };
 
+  // Jobs forwarded to and from other entries, since the start.
+  struct forward_counters
+  {
+    uint64_t mForwarded = 0;
+    uint64_t mDeclined = 0;  // among mForwarded, by their receivers
+    uint64_t mLost = 0;      // among mForwarded, by a closed connection
+    uint64_t mTakenOver = 0; // forwarded by others and accepted here
+  };
+
   coordinator_daemon(const coordinator_settings& aSettings,
                      const coordinator_adapter& aAdapter);
   void Open();
@@ -135,6 +149,16 @@
   result<job_submission> ReadSubmission(const http_exchange& aExchange,
                                         const route_table& aTable,
                                         const route& aRoute) const;
+  // How long the caller still waits after aElapsed; 0: not given.
+  uint32_t CallerTimeoutMs(const http_exchange& aExchange,
+                           duration aElapsed) const;
+  // Submits the job to this entry's coordinator. aElapsed: since the request
+  // was read.
+  void SubmitHere(const http_exchange& aExchange,
+                  const std::shared_ptr<const route_table>& aTable,
+                  const route& aRoute,
+                  uint64_t aJob,
+                  duration aElapsed);
   void Reply(uint64_t aExchange, int aStatus, const std::string& aBody);
   void Refuse(uint64_t aExchange, const failure& aError);
   // A failure of this process that says that nothing was run.
@@ -200,6 +224,49 @@
   void AddConfigMetrics(metrics_page* aPage);
   void CheckEntryTimeouts(instant aNow);
 
+  // Whether jobs are forwarded and taken at all.
+  bool IsForwardingOn() const;
+  // Closes connections of silent entries before anything that other entries
+  // have sent is handled, if this process stood still. To be called first in
+  // each callback that handles a request or a message.
+  void CheckStandstill();
+  void UpdateForwarding(instant aNow);
+  // True if the job is open at another entry, or was forwarded to one.
+  bool Forward(const http_exchange& aExchange,
+               const route_table& aTable,
+               const route& aRoute,
+               uint64_t aJob);
+  void SendForward(peer_id aPeer,
+                   const http_exchange& aExchange,
+                   const route& aRoute,
+                   uint64_t aJob);
+  void OnForwardJob(peer_id aPeer, const wire::forward_job_msg& aMessage);
+  // Errors: why the job is declined.
+  result<job_request> ReadForward(const wire::forward_job_msg& aMessage) const;
+  void Decline(caller_id aCaller, const std::string& aReason);
+  void OnForwardAnswer(peer_id aPeer, const wire::forward_answer_msg& aAnswer);
+  void OnForwardCancel(peer_id aPeer, uint64_t aNumber);
+  // Serves a job that was declined, for those of its callers that still wait.
+  void ServeDeclined(const sent_job& aJob);
+  void AnswerAll(const sent_job& aJob, const job_outcome& aOutcome);
+  void LogForwardEnded(const sent_job& aJob,
+                       peer_id aPeer,
+                       const std::string& aReason);
+  void SendForwardCancel(const forward_key& aKey);
+  bool CancelForwarded(uint64_t aJob);
+  // Sends the answer of a job that was taken from another entry.
+  void AnswerTaken(caller_id aCaller, const job_outcome& aOutcome);
+  // The caller of an open job has disconnected, here or at another entry.
+  void OnCallerGone(caller_id aCaller);
+  void EndForwards(peer_id aPeer);
+  // Ends all jobs that are open at other entries.
+  void AbortForwards();
+  void OnEntryCapacity(peer_id aPeer, const wire::entry_load_msg& aLoad);
+  // Sets the fields of aLoad by which other entries choose where to forward.
+  void FillCapacity(wire::entry_load_msg* aLoad) const;
+  void AddForwardingMetrics(metrics_page* aPage) const;
+  std::string AddressOf(peer_id aPeer) const;
+
   coordinator_settings mSettings;
   coordinator_adapter mAdapter;
   job_coordinator mCoordinator;
@@ -229,6 +296,15 @@
   instant mNextRegistration{};
   instant mDrainingSince{}; // zero: not draining
   instant mNextIdleClose{};
+  const busy_source* mBusySource = nullptr; // null unless forwarding is on
+  forwarding_policy mForwardingPolicy;
+  sent_jobs mSentJobs;
+  taken_jobs mTakenJobs;
+  forward_counters mForwards;
+  instant mLastTurn{}; // when CheckStandstill was last called
+  // Turns of the loop in which what is read may have been sent before a
+  // standstill.
+  uint32_t mOldInputTurns = 0;
 };
 
 } // namespace cactusmast
--- a/shell/coordinator_requests.cc
+++ b/shell/coordinator_requests.cc
@@ -152,6 +152,7 @@
 void
 coordinator_daemon::OnRequest(http_exchange& aExchange)
 {
+  CheckStandstill();
   std::shared_ptr<const route_table> table = mConfig.Table();
   if (table == nullptr) {
     HoldRequest(aExchange);
@@ -186,7 +187,8 @@
     TickSoon();
     return;
   }
-  if (method == "DELETE" && mCoordinator.Cancel(job, Now())) {
+  if (method == "DELETE" &&
+      (CancelForwarded(job) || mCoordinator.Cancel(job, Now()))) {
     Reply(aExchange.Id(), SOUP_STATUS_OK, "{}");
     return;
   }
@@ -255,6 +257,17 @@
   return decoded;
 }
 
+uint32_t
+coordinator_daemon::CallerTimeoutMs(const http_exchange& aExchange,
+                                    duration aElapsed) const
+{
+  std::string text = aExchange.Header(mAdapter.mCallers.CallerTimeoutHeader());
+  auto givenMs = uint32_t(std::strtoul(text.c_str(), nullptr, 10));
+  return givenMs == 0
+           ? 0
+           : uint32_t(std::max<int64_t>(1, int64_t(givenMs) - ToMs(aElapsed)));
+}
+
 void
 coordinator_daemon::OnSubmission(
   http_exchange& aExchange,
@@ -272,6 +285,18 @@
     Reply(aExchange.Id(), SOUP_STATUS_SERVICE_UNAVAILABLE, "{}");
     return;
   }
+  if (!Forward(aExchange, *aTable, aRoute, aJob)) {
+    SubmitHere(aExchange, aTable, aRoute, aJob, duration{});
+  }
+}
+
+void
+coordinator_daemon::SubmitHere(const http_exchange& aExchange,
+                               const std::shared_ptr<const route_table>& aTable,
+                               const route& aRoute,
+                               uint64_t aJob,
+                               duration aElapsed)
+{
   result<job_submission> read = ReadSubmission(aExchange, *aTable, aRoute);
   if (!read.Ok()) {
     Refuse(aExchange.Id(), read.Error());
@@ -283,14 +308,17 @@
   request.mSubmission = std::move(read.Value());
   request.mTable = aTable;
   request.mRoute = &aRoute;
-  std::string wait = aExchange.Header(mAdapter.mCallers.CallerTimeoutHeader());
-  request.mCallerTimeoutMs = uint32_t(std::strtoul(wait.c_str(), nullptr, 10));
+  request.mCallerTimeoutMs = CallerTimeoutMs(aExchange, aElapsed);
   mCoordinator.Submit(std::move(request), Now());
 }
 
 void
 coordinator_daemon::Answer(caller_id aCaller, const job_outcome& aOutcome)
 {
+  if (IsTakenCaller(aCaller)) {
+    AnswerTaken(aCaller, aOutcome);
+    return;
+  }
   switch (aOutcome.mEnding) {
     case job_ending::Refused:
       Refuse(aCaller,
--- a/shell/http_server.h
+++ b/shell/http_server.h
@@ -65,6 +65,8 @@
   const std::string& Method() const { return mMethod; }
   const std::string& Path() const { return mPath; }
   const std::string& Body() const { return mBody; }
+  // When the request was complete.
+  instant ReceivedAt() const { return mReceivedAt; }
   // The value of a request header; empty when absent.
   std::string Header(const char* aName) const;
   // The value of a query parameter; empty when absent.
