--- a/shell/coordinator_config.cc
+++ b/shell/coordinator_config.cc
@@ -72,7 +72,8 @@
   mCoordinator.OnEvacuations(
     DecodeEvacuations(aHeartbeat.evacuating.get(), Now()), Now());
   AddEntries(aHeartbeat.entries, aState.mAddress, Now());
-  if (aHeartbeat.load != nullptr) {
+  if (aHeartbeat.load) {
+    OnEntryLoad(aState, *aHeartbeat.load);
     OnEntryCapacity(aPeer, *aHeartbeat.load);
   }
 }
--- a/shell/coordinator_forwarding.cc
+++ b/shell/coordinator_forwarding.cc
@@ -391,7 +391,6 @@
 coordinator_daemon::FillCapacity(wire::entry_load_msg* aLoad) const
 {
   if (IsForwardingOn()) {
-    aLoad->processor_millis = mSettings.mProcessorMillis;
     aLoad->busy_permille =
       uint32_t(std::lround(mBusySource->BusyShare() * kPermille));
     aLoad->takes_jobs = IsReady();
