--- a/shell/coordinator_config.cc
+++ b/shell/coordinator_config.cc
@@ -21,9 +21,7 @@
                                    entry_peer& aState,
                                    const message& aMessage)
 {
-  if (mOldInputTurns == 0) {
-    aState.mLastHeard = Now();
-  }
+  aState.mLastHeard = std::max(aState.mLastHeard, SentAfter(Now()));
   switch (aMessage.type) {
     case message_kind::entry_pulse:
       OnEntryHeartbeat(aPeer, aState, *aMessage.Asentry_pulse());
--- a/shell/coordinator_daemon.h
+++ b/shell/coordinator_daemon.h
@@ -242,6 +242,8 @@
   // have sent is handled, if this process stood still. To be called first in
   // each callback that handles a request or a message.
   void CheckStandstill();
+  // The time that a message read now counts as sent at.
+  instant SentAfter(instant aNow) const;
   void UpdateForwarding(instant aNow);
   // True if the job is open at another entry, or was forwarded to one.
   bool Forward(const http_exchange& aExchange,
--- a/shell/coordinator_forwarding.cc
+++ b/shell/coordinator_forwarding.cc
@@ -16,6 +16,12 @@
 // Input that was buffered during a standstill is read in this many turns of the
 // loop, each of which reads a part of it from every connection.
 constexpr uint32_t kOldInputTurns = 3;
+// Such input may have been sent by an entry that has closed the connection
+// since and answered its callers. Counted as this old, it keeps a silent entry
+// connected for 800 ms more at most: after a standstill of less than a second
+// tasks end within 1,900 ms of its begin, and the callers submit their jobs
+// again 2,000 ms after it at the earliest.
+constexpr duration kOldInputAge = milliseconds(200);
 constexpr double kPermille = 1000;
 
 std::string
@@ -55,6 +61,12 @@
   }
 }
 
+instant
+coordinator_daemon::SentAfter(instant aNow) const
+{
+  return mOldInputTurns > 0 ? aNow - kOldInputAge : aNow;
+}
+
 void
 coordinator_daemon::UpdateForwarding(instant aNow)
 {
