--- a/shell/coordinator_load.cc
+++ b/shell/coordinator_load.cc
@@ -35,6 +35,13 @@
   return load;
 }
 
+bool
+coordinator_daemon::IsLoadOverdue(instant aNow) const
+{
+  bool sends = SharesDemand() || IsForwardingOn();
+  return sends && !mEntryPeers.empty() && mLoadPacing.IsOverdue(aNow);
+}
+
 std::optional<wire::entry_load_msg>
 coordinator_daemon::NextLoad(instant aNow)
 {
