--- a/cactusmast/job_coordinator.h
+++ b/cactusmast/job_coordinator.h
@@ -187,6 +187,7 @@
   const std::map<std::string, route_share>& Shares() const { return mShares; }
   const evacuation_tracker& Evacuations() const { return mEvacuations; }
   size_t OpenJobs() const { return mJobs.size(); }
+  bool IsOpen(uint64_t aJob) const { return mJobs.count(aJob) > 0; }
   size_t WaitingTasks() const { return mWaiting.size(); }
   // The number of open jobs of aRoute of which no task was dispatched.
   uint32_t UndispatchedJobs(const std::string& aRoute) const;
--- a/shell/coordinator_config.cc
+++ b/shell/coordinator_config.cc
@@ -21,7 +21,7 @@
                                    entry_peer& aState,
                                    const message& aMessage)
 {
-  aState.mLastHeard = Now();
+  aState.mLastHeard = std::max(aState.mLastHeard, SentAfter(Now()));
   switch (aMessage.type) {
     case message_kind::entry_pulse:
       OnEntryHeartbeat(aPeer, aState, *aMessage.Asentry_pulse());
@@ -42,6 +42,15 @@
       OnConfigCopy(aState, whole.version, whole.text);
       break;
     }
+    case message_kind::forward_job:
+      OnForwardJob(aPeer, *aMessage.Asforward_job());
+      break;
+    case message_kind::forward_answer:
+      OnForwardAnswer(aPeer, *aMessage.Asforward_answer());
+      break;
+    case message_kind::forward_cancel:
+      OnForwardCancel(aPeer, aMessage.Asforward_cancel()->number);
+      break;
     default:
       break;
   }
@@ -63,6 +72,7 @@
   AddEntries(aHeartbeat.entries, aState.mAddress, Now());
   if (aHeartbeat.load) {
     OnEntryLoad(aState, *aHeartbeat.load);
+    OnEntryCapacity(aPeer, *aHeartbeat.load);
   }
 }
 
--- a/shell/coordinator_load.cc
+++ b/shell/coordinator_load.cc
@@ -27,21 +27,26 @@
 {
   wire::entry_load_msg load;
   load.sequence = ++mLoadSequence;
-  load.demand = mCoordinator.EncodeOwnDemand(kMaxLoadRoutes, aNow);
+  if (SharesDemand()) {
+    load.demand = mCoordinator.EncodeOwnDemand(kMaxLoadRoutes, aNow);
+  }
   load.processor_millis = mSettings.mProcessorMillis;
+  FillCapacity(&load);
   return load;
 }
 
 bool
 coordinator_daemon::IsLoadOverdue(instant aNow) const
 {
-  return SharesDemand() && !mEntryPeers.empty() && mLoadPacing.IsOverdue(aNow);
+  bool sends = SharesDemand() || IsForwardingOn();
+  return sends && !mEntryPeers.empty() && mLoadPacing.IsOverdue(aNow);
 }
 
 std::optional<wire::entry_load_msg>
 coordinator_daemon::NextLoad(instant aNow)
 {
-  if (!SharesDemand() || mEntryPeers.empty() || !mLoadPacing.IsDue(aNow)) {
+  bool sends = SharesDemand() || IsForwardingOn();
+  if (!sends || mEntryPeers.empty() || !mLoadPacing.IsDue(aNow)) {
     return std::nullopt;
   }
   wire::entry_load_msg load = MakeLoad(aNow);
