cactusmast demand: what coordinators know of each route

Cause: operators could see the demand only as metrics, process by process. Change: the command lists for each process and route its own demand, that of all entries, the limit in force, the tasks held and the age of the oldest value. The request for a metrics page is shared with `evacuations`.

--- a/Makefile
+++ b/Makefile
@@ -66,6 +66,7 @@
 
 $(BUILD)/cactusmast: $(BUILD)/obj/cmd/cactusmast_main.o \
   $(BUILD)/obj/cmd/documents.o $(BUILD)/obj/cmd/evacuations_command.o \
+  $(BUILD)/obj/cmd/demand_command.o $(BUILD)/obj/cmd/metrics_request.o \
   $(SHELL_LIB) $(CORE_LIB)
 	@$(CXX) $(LDFLAGS) $^ $(SHELL_LIBS) -o $@
 
@@ -93,7 +94,8 @@
   $(PLATFORM_OBJECTS) $(SHELL_LIB) $(CORE_LIB)
 	@$(CXX) $(LDFLAGS) $^ $(SHELL_LIBS) -o $@
 
-$(BUILD)/cactusmast-test: $(TEST_OBJECTS) $(PLATFORM_OBJECTS) $(SHELL_LIB) $(CORE_LIB)
+$(BUILD)/cactusmast-test: $(TEST_OBJECTS) $(PLATFORM_OBJECTS) \
+  $(BUILD)/obj/cmd/demand_command.o $(BUILD)/obj/cmd/metrics_request.o $(SHELL_LIB) $(CORE_LIB)
 	@$(CXX) $(LDFLAGS) $^ $(SHELL_LIBS) -lrapidcheck -o $@
 
 # Runs all tests; the last line of the output counts them.
--- a/cmd/cactusmast_main.cc
+++ b/cmd/cactusmast_main.cc
@@ -8,6 +8,7 @@
 #include <yaml-cpp/yaml.h>
 
 #include "cactusmast/settings.h"
+#include "cmd/demand_command.h"
 #include "cmd/documents.h"
 #include "cmd/evacuations_command.h"
 #include "shell/daemon.h"
@@ -40,6 +41,7 @@
   cactusmast [options] audit [--limit=N]
   cactusmast [options] drain
   cactusmast [options] evacuations ADDRESS...
+  cactusmast [options] demand ADDRESS...
   cactusmast config check FILE
   cactusmast version
   cactusmast (-h | --help)
@@ -67,6 +69,11 @@
                      evacuated, for how long they have known, and when the
                      store last confirmed it; ADDRESS is HOST:PORT of their
                      metrics page.
+  demand             What coordinators know of each route, in thousandths of
+                     a core: the demand of their own callers and that at all
+                     entries, the limit in force and the tasks held of the
+                     route; and the age of the oldest value of another entry.
+                     ADDRESS is HOST:PORT of their metrics page.
   drain              Drains the entry and stops it.
 
 Exit codes: 0 done; 1 refused or failed; 2 wrong usage or bad files; 3 no reply,
@@ -470,6 +477,26 @@
   return Done;
 }
 
+int
+RunDemand(const arguments_map& aArguments)
+{
+  json rows = ReadDemand(aArguments.at("ADDRESS").asStringList(),
+                         uint32_t(aArguments.at("--timeout-ms").asLong()));
+  if (aArguments.at("--json").asBool()) {
+    std::cout << rows.dump() << "\n";
+  } else {
+    PrintTable(rows,
+               { "process",
+                 "route",
+                 "own_millis",
+                 "all_millis",
+                 "limit_millis",
+                 "held_tasks",
+                 "oldest_s" });
+  }
+  return Done;
+}
+
 int
 RunCommand(const arguments_map& aArguments)
 {
@@ -486,6 +513,9 @@
   if (aArguments.at("evacuations").asBool()) {
     return RunEvacuations(aArguments);
   }
+  if (aArguments.at("demand").asBool()) {
+    return RunDemand(aArguments);
+  }
   entry_client client(aArguments);
   if (aArguments.at("profile").asBool()) {
     return RunProfile(aArguments, client);
--- a/cmd/evacuations_command.cc
+++ b/cmd/evacuations_command.cc
@@ -1,35 +1,13 @@
 #include "cmd/evacuations_command.h"
 
-#include "cactusmast/error.h"
-#include "shell/http_client.h"
+#include "cmd/metrics_request.h"
 #include "shell/metrics_page.h"
 #include "shell/metrics_reader.h"
 
 namespace cactusmast {
-namespace {
 
 using nlohmann::json;
 
-std::string
-FetchMetrics(const std::string& aAddress, uint32_t aTimeoutMs)
-{
-  http_request request;
-  request.mMethod = "GET";
-  request.mUrl = "http://" + aAddress + "/metrics";
-  request.mIdempotent = true;
-  http_response response = SendAndWait(request, aTimeoutMs);
-  if (response.mFault != http_fault::None) {
-    throw failure(error_code::Unavailable,
-                  "read metrics",
-                  aAddress,
-                  response.mFaultText,
-                  run_state::NotRun);
-  }
-  return response.mBody;
-}
-
-} // namespace
-
 json
 ReadEvacuations(const std::vector<std::string>& aAddresses, uint32_t aTimeoutMs)
 {
