--- a/cactusmast/testing/sized_world.cc
+++ b/cactusmast/testing/sized_world.cc
@@ -214,19 +214,20 @@
   auto load = std::make_shared<wire::entry_load_msg>();
   load->sequence = ++aFrom.mLoadSequence;
   load->demand = aFrom.mCore->EncodeOwnDemand(kMaxRoutesPerLoad, mNow);
-  std::string name = "entry" + std::to_string(aFrom.mIndex) + "/" +
-                     std::to_string(aFrom.mIncarnation);
   for (size_t to = 0; to < mEntries.size(); to++) {
     if (to == aFrom.mIndex) {
       continue;
     }
-    At(kMessageDelay, [this, from = aFrom.mIndex, to, name, load] {
-      if (!AreEntriesCut(from, to)) {
-        Deliver(false, to, [this, to, name, load] {
-          Coordinator(to).OnEntryLoad(name, *load, mNow);
-        });
-      }
-    });
+    At(kMessageDelay,
+       [this, from = aFrom.mIndex, to, incarnation = aFrom.mIncarnation, load] {
+         if (AreEntriesCut(from, to)) {
+           return;
+         }
+         Deliver(false, to, [this, from, to, incarnation, load] {
+           Coordinator(to).OnEntryLoad(
+             "entry" + std::to_string(from), *load, mNow, incarnation);
+         });
+       });
   }
 }
 
