--- a/cactusmast/testing/sized_load.cc
+++ b/cactusmast/testing/sized_load.cc
@@ -171,9 +171,10 @@
   double responseMs = double(responseTime.count()) / 1000;
   bool inTime =
     responseMs <= kObjectiveStretch * kind.mWorkMs + kObjectiveBaseMs;
+  auto byKind = load_kind(aJob.mKind);
   for (load_counts* counts : { static_cast<load_counts*>(aOut),
-                               &aOut->mByKind[load_kind(aJob.mKind)],
-                               &aOut->mByEntry[aJob.mEntry] }) {
+                               &aOut->mByKind[byKind],
+                               &aOut->mByEntry[aJob.mEntry][byKind] }) {
     CountEnding(aCaller.mEnding, inTime, counts);
   }
   if (aCaller.mEnding != job_ending::Completed) {
@@ -207,7 +208,7 @@
   for (const planned_job& job : PlanJobs(aWorld, aPlan, &random)) {
     totals.mJobs++;
     totals.mByKind[load_kind(job.mKind)].mJobs++;
-    totals.mByEntry[job.mEntry].mJobs++;
+    totals.mByEntry[job.mEntry][load_kind(job.mKind)].mJobs++;
     aWorld->At(job.mSubmitAfter, [aWorld, job, aRoutesOfKinds, &submitted] {
       const job_kind& chosen = kKinds[job.mKind];
       uint64_t id = aWorld->Submit(job.mEntry,
--- a/cactusmast/testing/sized_load.h
+++ b/cactusmast/testing/sized_load.h
@@ -31,10 +31,12 @@
   size_t mRefused = 0;
 };
 
+using counts_by_kind = std::map<load_kind, load_counts>;
+
 struct load_result : load_counts
 {
-  std::map<load_kind, load_counts> mByKind;
-  std::vector<load_counts> mByEntry; // to which a job was first submitted
+  counts_by_kind mByKind;
+  std::vector<counts_by_kind> mByEntry; // to which a job was first submitted
   double mInTimeWorkS = 0; // work time of all tasks of the jobs in mInTime
   // Of completed jobs: response time over the run time of a task.
   std::vector<double> mRatios;
