--- a/cactusmast/testing/sized_load.cc
+++ b/cactusmast/testing/sized_load.cc
@@ -7,8 +7,6 @@
 
 // Number of tasks of the world that fit in a backend server.
 constexpr double kTasksPerServer = 10;
-// For the jobs that are open when the last one is submitted.
-constexpr duration kCompletionTime = std::chrono::seconds(5);
 // Much longer than all objectives.
 constexpr uint32_t kCallerTimeoutMs = 8000;
 // As in the world's routes.
@@ -220,7 +218,7 @@
       submitted[id] = { job.mKind, job.mEntry, aWorld->Now() };
     });
   }
-  aWorld->Run(aPlan.mSpan + kCompletionTime);
+  aWorld->Run(aPlan.mSpan + aPlan.mCompletionTime);
   for (const caller_record& caller : aWorld->Callers()) {
     Count(caller, submitted.at(caller.mJob), &totals);
   }
--- a/cactusmast/testing/sized_load.h
+++ b/cactusmast/testing/sized_load.h
@@ -64,11 +64,13 @@
   // The load oscillates by this share of its mean, first above it.
   double mSwing = 0;
   duration mPeriod = std::chrono::seconds(1);
+  // How long the world runs on for the jobs that are open at the end.
+  duration mCompletionTime = std::chrono::seconds(5);
 };
 
 // Gives the world a route for each kind: "urgent" with priority 0, "middle"
 // with 1 and "long" with 2. Submits the jobs of the plan to them, and runs the
-// world for some more seconds so that open jobs can end.
+// world until mCompletionTime after the last one.
 load_result
 PlayLoad(sized_world* aWorld, const load_plan& aPlan, uint32_t aSeed);
 
