--- a/cactusmast/job_coordinator_demand.cc
+++ b/cactusmast/job_coordinator_demand.cc
@@ -2,15 +2,21 @@
 
 #include "cactusmast/job_coordinator.h"
 
+#include <algorithm>
+
+#include "cactusmast/time_spans.h"
+
 namespace cactusmast {
 
 double
 job_coordinator::WorkOf(const job& aJob) const
 {
+  // Nothing runs on after the caller has stopped waiting, whatever it declared.
+  double maxRunMs = MsBetween(aJob.mAcceptedAt, aJob.mDeadline);
   double coreMs = 0;
   for (const job_step& step : aJob.mSubmission.mSteps) {
     coreMs += step.mCount * double(step.mSize.mCpuMillis) / 1000 *
-              ExpectedRunMs(aJob, step);
+              std::min(ExpectedRunMs(aJob, step), maxRunMs);
   }
   return coreMs * mSlowness.mMedian;
 }
--- a/cactusmast/testing/hard_load_test.cc
+++ b/cactusmast/testing/hard_load_test.cc
@@ -267,6 +267,28 @@
   Play(plan, AllParts(), restart);
 }
 
+TEST_CASE("a job with a false declared run time limits no other route")
+{
+  // Guards against a caller whose one wrong number starves other routes for
+  // seconds: a job uses nothing after its caller has stopped waiting.
+  sized_world world(2, 4, 1, {}, 1, AllParts());
+  world.SetRoutes({ { "urgent", 0 }, { "middle", 1 } });
+  constexpr uint32_t kDayMs = 86400000;
+  world.Submit(0, 4, 60, 1500, kDayMs, 0);
+  // Half of the capacity.
+  for (int i = 0; i < 300; i++) {
+    world.At(milliseconds(10 * i),
+             [&world, i] { world.Submit(size_t(i) % 2, 2, 100, 1500, 0, 1); });
+  }
+  world.Run(seconds(2));
+  CHECK_FALSE(IsLimited(&world, 0));
+  CHECK_FALSE(IsLimited(&world, 1));
+  world.Run(seconds(2));
+  // The job itself may end in any way.
+  CHECK(world.CountEnding(job_ending::Completed) >= 300);
+  CHECK(world.Violations().empty());
+}
+
 TEST_CASE("shares between 40 entries and 160 backend servers take no more than "
           "a tenth more messages")
 {
