--- a/cactusmast/testing/sized_load.cc
+++ b/cactusmast/testing/sized_load.cc
@@ -7,8 +7,6 @@
 
 // Number of tasks of the world that fit in a backend server.
 constexpr double kTasksPerServer = 10;
-// For the jobs that are open when the last one is submitted.
-constexpr duration kCompletionTime = std::chrono::seconds(5);
 // Much longer than all objectives.
 constexpr uint32_t kCallerTimeoutMs = 8000;
 // As in the world's routes.
@@ -173,9 +171,10 @@
   double responseMs = double(responseTime.count()) / 1000;
   double longestMs = aLongestWorkFactor * kind.mWorkMs;
   bool inTime = responseMs <= kObjectiveStretch * longestMs + kObjectiveBaseMs;
+  auto byKind = load_kind(aJob.mKind);
   for (load_counts* counts : { static_cast<load_counts*>(aOut),
-                               &aOut->mByKind[load_kind(aJob.mKind)],
-                               &aOut->mByEntry[aJob.mEntry] }) {
+                               &aOut->mByKind[byKind],
+                               &aOut->mByEntry[aJob.mEntry][byKind] }) {
     CountEnding(aCaller.mEnding, inTime, counts);
   }
   if (aCaller.mEnding != job_ending::Completed) {
@@ -209,7 +208,7 @@
   for (const planned_job& job : PlanJobs(aWorld, aPlan, &random)) {
     totals.mJobs++;
     totals.mByKind[load_kind(job.mKind)].mJobs++;
-    totals.mByEntry[job.mEntry].mJobs++;
+    totals.mByEntry[job.mEntry][load_kind(job.mKind)].mJobs++;
     aWorld->At(job.mSubmitAfter, [aWorld, job, aRoutesOfKinds, &submitted] {
       const job_kind& chosen = kKinds[job.mKind];
       uint64_t id = aWorld->Submit(job.mEntry,
@@ -221,7 +220,7 @@
       submitted[id] = { job.mKind, job.mEntry, aWorld->Now() };
     });
   }
-  aWorld->Run(aPlan.mSpan + kCompletionTime);
+  aWorld->Run(aPlan.mSpan + aPlan.mCompletionTime);
   for (const caller_record& caller : aWorld->Callers()) {
     Count(caller,
           submitted.at(caller.mJob),
--- a/cactusmast/testing/sized_load.h
+++ b/cactusmast/testing/sized_load.h
@@ -31,10 +31,12 @@
   size_t mRefused = 0;
 };
 
+using counts_by_kind = std::map<load_kind, load_counts>;
+
 struct load_result : load_counts
 {
-  std::map<load_kind, load_counts> mByKind;
-  std::vector<load_counts> mByEntry; // to which a job was first submitted
+  counts_by_kind mByKind;
+  std::vector<counts_by_kind> mByEntry; // to which a job was first submitted
   // Work time of all tasks of the jobs in mInTime, without SetLongTasks.
   double mInTimeWorkS = 0;
   // Of completed jobs: response time over the run time of the longest task.
@@ -63,11 +65,13 @@
   // The load oscillates by this share of its mean, first above it.
   double mSwing = 0;
   duration mPeriod = std::chrono::seconds(1);
+  // How long the world runs on for the jobs that are open at the end.
+  duration mCompletionTime = std::chrono::seconds(5);
 };
 
 // Gives the world a route for each kind: "urgent" with priority 0, "middle"
 // with 1 and "long" with 2. Submits the jobs of the plan to them, and runs the
-// world for some more seconds so that open jobs can end.
+// world until mCompletionTime after the last one.
 load_result
 PlayLoad(sized_world* aWorld, const load_plan& aPlan, uint32_t aSeed);
 
