Demand on the wire is clamped; corrections after the review of shared demand

Change: ToWire clamps; comparisons instead of a sum; the texts say that held tasks are those not placed because of the limit.

--- a/cactusmast/route_demand.cc
+++ b/cactusmast/route_demand.cc
@@ -15,6 +15,12 @@
 // A route whose mean has decayed to less than this has no recent jobs.
 constexpr double kMinMillis = 1;
 
+uint32_t
+ToWire(double aValue)
+{
+  return uint32_t(std::clamp<double>(aValue, 0, UINT32_MAX));
+}
+
 } // namespace
 
 double
@@ -159,10 +165,11 @@
   for (const auto& [route, demand] : aDemand) {
     auto row = std::make_unique<wire::route_demand_msg>();
     row->route = route;
-    row->offered_millis = uint32_t(demand.mOfferedMillis);
-    row->running_millis = uint32_t(demand.mRunningMillis);
-    row->waiting_core_ms = uint32_t(demand.mWaitingCoreMs);
-    if (row->offered_millis + row->running_millis + row->waiting_core_ms > 0) {
+    row->offered_millis = ToWire(demand.mOfferedMillis);
+    row->running_millis = ToWire(demand.mRunningMillis);
+    row->waiting_core_ms = ToWire(demand.mWaitingCoreMs);
+    if (row->offered_millis > 0 || row->running_millis > 0 ||
+        row->waiting_core_ms > 0) {
       rows.push_back(std::move(row));
     }
   }
--- a/cactusmast/route_demand.h
+++ b/cactusmast/route_demand.h
@@ -10,13 +10,13 @@
 //   meter.OnSubmitted("quotes", 1200, now); // 1200 core-milliseconds
 //   demand_board board;
 //   board.SetOwn({ { "quotes", { meter.OfferedMillis("quotes", now) } } });
-//   board.OnEntry("entry-2", load, now);
+//   board.OnEntry("entry-2", load, now, incarnation);
 //   double all = board.Total("quotes", now).mOfferedMillis;
 //
 // Invariants:
-// - Figures of an entry are replaced by newer ones of it only, and all at once
+// - Values of an entry are replaced by newer ones of it only, and all at once
 //   after its restart.
-// - Figures that were not replaced for kDemandFresh lose weight until they
+// - Values that were not replaced for kDemandFresh lose weight until they
 //   count for nothing at kDemandExpired, so that a lost entry is forgotten.
 
 #ifndef CACTUSMAST_ROUTE_DEMAND_H_
--- a/cmd/cactusmast_main.cc
+++ b/cmd/cactusmast_main.cc
@@ -71,8 +71,9 @@
                      metrics page.
   demand             What coordinators know of each route, in thousandths of
                      a core: the demand of their own callers and that at all
-                     entries, the limit in force and the tasks held of the
-                     route; and the age of the oldest value of another entry.
+                     entries, the limit in force and the tasks not placed
+                     because of it; and the age of the oldest value of another
+                     entry.
                      ADDRESS is HOST:PORT of their metrics page.
   drain              Drains the entry and stops it.
 
