Progress is watched anew after a gap between polls; texts after a newcomer's read

Cause: a reader of the whole diff found that a pause of the executor and its backend server of 250 ms or more looks like tasks that stand still, that a limit of 0 (tasks that declare no processors) would be divided by, and texts that a newcomer stumbles over. Change: kMaxReplyGap; a floor under the limit in the wait; metric names in one place; comments.

--- a/cactusmast/forwarding_policy.h
+++ b/cactusmast/forwarding_policy.h
@@ -7,8 +7,7 @@
 //   policy.OnLoad(peer, { 500, 0.2, true }, now);
 //   policy.Update(busyShare, now);              // in each turn of the loop
 //   if (auto target = policy.ChooseTarget(now)) {
-//     policy.OnForwarded(*target);              // and OnEnded once it has
-//     ended
+//     policy.OnForwarded(*target); // and OnEnded later
 //   }
 //
 // While this entry is too busy, the fraction of new jobs that it forwards grows
--- a/cactusmast/job_coordinator.h
+++ b/cactusmast/job_coordinator.h
@@ -238,8 +238,8 @@
     double mCallerTimeoutMs = 0; // 0: not given
     double mRunTimeFactor = 1;   // forecast run time over the declared one
     double mRunSigma = kDeclaredSigma; // run_forecast::mSigma
-    instant
-      mObjectiveAt{}; // by the forecast, of the longest task once all ended
+    // By the forecast; once all tasks have ended, by the longest run time.
+    instant mObjectiveAt{};
     // The longest run time of the tasks that are done, on a backend server with
     // a slowness of 1; 0: none is known.
     double mLongestRunMs = 0;
@@ -259,7 +259,7 @@
   {
     demand_trend mTrend;
     spare_forecast mForecast;
-    double mDeferredCoreMs = 0; // of the jobs deferred at the latest look
+    double mDeferredCoreMs = 0; // of the jobs deferred in the last placement
   };
 
   struct executor
--- a/cactusmast/job_coordinator_shares.cc
+++ b/cactusmast/job_coordinator_shares.cc
@@ -157,7 +157,9 @@
   for (auto at = mShares.begin(); at != mShares.end();) {
     auto ownDemand = own.find(at->first);
     if (ownDemand == own.end()) {
-      at = mShares.erase(at); // it has no open job either
+      // The own demand has the route of each open job, so no job refers to this
+      // share. Valid only right after UpdateOwnDemand.
+      at = mShares.erase(at);
       continue;
     }
     route_share& share = at->second;
@@ -311,7 +313,10 @@
     if (isFirst && !aAllTried) {
       work->second = WorkBeforeNew(owner);
     }
-    double waitMs = double(work->second) / owner.mShare->mLimit.Millis();
+    // Core-microseconds over thousandths of a core are milliseconds. Tasks may
+    // declare no processors, and the limit may then be 0.
+    double waitMs =
+      double(work->second) / std::max(1.0, owner.mShare->mLimit.Millis());
     instant turn = aNow + duration(int64_t(waitMs * 1000));
     bool tooLate =
       owner.mDeferred || std::get<0>(WaitingKey(owner, key)) <= turn;
--- a/cactusmast/late_deferral.h
+++ b/cactusmast/late_deferral.h
@@ -11,8 +11,8 @@
 //
 //   demand_trend trend;
 //   trend.Add(demandMillis, now); // every 100 ms
-//   spare_forecast forecast{ 64000, demandMillis, trend.MillisPerSecond(), 0.2
-//   }; if (WaitsForSpare(forecast, 1500, deferredCoreMs, jobCoreMs)) ...
+//   spare_forecast spare{ 64000, demandMillis, trend.MillisPerSecond(), 0.2 };
+//   if (WaitsForSpare(spare, 1500, deferredCoreMs, jobCoreMs)) ...
 //
 // Invariants:
 // - Without capacity or time nothing waits.
--- a/cactusmast/route_shares.cc
+++ b/cactusmast/route_shares.cc
@@ -116,7 +116,8 @@
     }
     mMillis = std::max(aInput.mUsedMillis, aInput.mTaskMillis);
   }
-  // Without a limit of all entries, the own demand is met.
+  // Without a limit of all entries, the own demand is met. A target above it
+  // lets the limit pass the demand, and be lifted, in a few steps.
   double target = aInput.mLimitMillis.has_value()
                     ? aInput.mOwnPart * *aInput.mLimitMillis
                     : 2 * aInput.mOwnDemandMillis;
--- a/cactusmast/route_shares.h
+++ b/cactusmast/route_shares.h
@@ -88,7 +88,8 @@
   int64_t mUsedMillis = 0;       // by reserved and dispatched tasks
   int64_t mQueuedCoreMicros = 0; // work of waiting tasks, in core-microseconds
   int64_t mTaskMillis = 0;       // processors of the largest task so far
-  // Tasks that were not placed at the latest look because of the limit.
+  // Tasks that the last placement of all waiting tasks left out because of the
+  // limit.
   uint32_t mHeldTasks = 0;
 
   bool IsUsedUp() const
--- a/cactusmast/task_executor_limits.h
+++ b/cactusmast/task_executor_limits.h
@@ -57,6 +57,9 @@
 // an estimate from progress is accurate to about a tenth.
 constexpr duration kMinProgressTime = milliseconds(100);
 constexpr uint32_t kMinProgressPercent = 5;
+// Polls of a busy backend server are answered within 100 ms. After a longer
+// time without a reply, the progress of its tasks is watched anew.
+constexpr duration kMaxReplyGap = milliseconds(200);
 // Minimum of the expected remaining run time, and margin after an expected end
 // for the reply to a poll. A task that runs longer than its forecast ends soon,
 // or the forecast was wrong.
--- a/cactusmast/task_executor_polls.cc
+++ b/cactusmast/task_executor_polls.cc
@@ -205,7 +205,10 @@
 task_executor::OnProgress(task& aTask, uint32_t aPercent, instant aNow)
 {
   duration ran = aNow - aTask.mStartSentAt;
-  if (aPercent != aTask.mPercent || aTask.mProgressAt.count() == 0) {
+  // After a gap between two replies it is not known whether the backend server
+  // was paused together with this process.
+  bool gap = aNow - aTask.mPercentAt > kMaxReplyGap;
+  if (aPercent != aTask.mPercent || gap) {
     aTask.mProgressAt = aNow;
   }
   aTask.mPercent = aPercent;
--- a/cactusmast/testing/task_executor_test.cc
+++ b/cactusmast/testing/task_executor_test.cc
@@ -426,6 +426,21 @@
         std::vector<attempt_outcome>{ attempt_outcome::Stopped });
 }
 
+TEST_CASE("a pause of the executor does not make tasks look stalled")
+{
+  // Guards against stops of tasks whose backend server was paused together with
+  // its executor.
+  started_task world;
+  world.mExecutor.DetectStalls();
+  const start_request started = world.mRunner.mStarts.back();
+  world.ReplyToStart(start_result::Started);
+  std::vector<running_task> running{ { started.mTask, started.mRunNumber, 1 } };
+  world.AdvanceWithoutHeartbeat(milliseconds(20), running);
+  world.mNow += milliseconds(400);
+  world.ReplyToPoll(running, {});
+  CHECK(world.mRunner.mStops.empty());
+}
+
 TEST_CASE("a task that makes slow progress is not stopped")
 {
   // Guards against restarts of long tasks, which would lose their work.
--- a/shell/share_metrics.cc
+++ b/shell/share_metrics.cc
@@ -13,12 +13,12 @@
       held[route] = share.mHeldTasks;
     }
   }
-  aPage->Gauges("cactusmast_share_limit_millis",
+  aPage->Gauges(kShareLimitMetric,
                 "Processors that this entry may use for the route while "
                 "capacity is scarce, in thousandths of a core.",
                 "route",
                 limits);
-  aPage->Gauges("cactusmast_share_held_tasks",
+  aPage->Gauges(kShareHeldMetric,
                 "Tasks that wait because their route has used up its limit.",
                 "route",
                 held);
