--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -166,7 +166,7 @@
 
     @staticmethod
     def runner_command(options):
-        return [sys.executable, "-E", "-S", os.path.join(HERE, "runner.py"), json.dumps(options)]
+        return [sys.executable, "-B", "-E", "-S", os.path.join(HERE, "runner.py"), json.dumps(options)]
 
     def program(self, role, commands, name, ip, seeds, number):
         fields = {
