A restart of the backend server ends no attempt by itself

Cause: the executor reported everything that it had started as lost as soon as an announcement or a poll reply showed another incarnation. A start request that was on its way may have reached either incarnation, and for 280 ms without a reply the executor went on to start tasks.

Change: an attempt is lost only if its start was confirmed before a poll was sent whose reply does not list it. From the loss of a connection to the backend server until the next poll reply nothing is started or sent again, no end is acknowledged (numbers of ends begin anew) and no lease is extended (so does the clock). A delayed announcement of a former incarnation no longer replaces the one that a poll has shown; a start reply of a former one no longer sets the clock.

Why it works: the list of running tasks is the new incarnation's own word, and a poll that was sent after the confirmation cannot have been overtaken by the start.

--- a/cactusmast/backend_runner.h
+++ b/cactusmast/backend_runner.h
@@ -66,9 +66,11 @@
 enum class poll_result : uint8_t
 {
   Ok,
-  FencedOff, // the backend server has seen a greater fencing token; it did
-             // nothing
-  NoAnswer,  // in doubt: may have been carried out
+  FencedOff,    // the backend server has seen a greater fencing token; it did
+                // nothing
+  Disconnected, // the connection was refused or lost: the backend server may
+                // have crashed; in doubt like NoAnswer
+  NoAnswer,     // in doubt: may have been carried out
   Count
 };
 
--- a/cactusmast/events.cc
+++ b/cactusmast/events.cc
@@ -122,8 +122,7 @@
     { e::BackendReborn,
       s::Warning,
       "backend_reborn",
-      "A backend server restarted; what ran in its earlier incarnation is "
-      "lost." },
+      "A backend server restarted; the next poll shows what runs there." },
     { e::BackendRecalled,
       s::Info,
       "backend_recalled",
--- a/cactusmast/task_executor.cc
+++ b/cactusmast/task_executor.cc
@@ -204,12 +204,7 @@
 task_executor::OnAnnouncement(const server_announcement& aAnnouncement,
                               instant aNow)
 {
-  // A delayed announcement may arrive after that of a later incarnation.
-  bool older =
-    mServerKnown && (aAnnouncement.mStartTimeMs < mServer.mStartTimeMs ||
-                     (aAnnouncement.mStartTimeMs == mServer.mStartTimeMs &&
-                      aAnnouncement.mSequence <= mServer.mSequence));
-  if (older) {
+  if (IsOutdated(aAnnouncement)) {
     return;
   }
   bool changed = !mServerKnown || IsRestored() ||
@@ -236,6 +231,23 @@
   }
 }
 
+// A delayed announcement may arrive after a poll reply or an announcement of a
+// later incarnation.
+bool
+task_executor::IsOutdated(const server_announcement& aAnnouncement) const
+{
+  bool sameIncarnation =
+    mServerKnown && aAnnouncement.mStartTimeMs == mServer.mStartTimeMs;
+  if (sameIncarnation && aAnnouncement.mSequence <= mServer.mSequence) {
+    return true;
+  }
+  int64_t newest = mServerStartTimeMs;
+  if (newest == 0 && mServerKnown) {
+    newest = mServer.mStartTimeMs;
+  }
+  return aAnnouncement.mStartTimeMs < newest;
+}
+
 void
 task_executor::SetServer(const server_announcement& aServer)
 {
@@ -340,7 +352,8 @@
 bool
 task_executor::MayStart(instant aNow) const
 {
-  return State(aNow) == server_state::Ready && !mHasStrays && mClockKnown;
+  return State(aNow) == server_state::Ready && !mHasStrays && mClockKnown &&
+         !IsRestartSuspected();
 }
 
 void
@@ -449,6 +462,9 @@
       }
       continue;
     }
+    if (tracked.mAwaitsResend) {
+      ResendStart(tracked, aNow);
+    }
     if (aNow >= tracked.mStopBy) {
       BeginStop(tracked, attempt_outcome::Stopped, aNow);
     }
--- a/cactusmast/task_executor.h
+++ b/cactusmast/task_executor.h
@@ -19,8 +19,14 @@
 // - While the executor's data centre is being evacuated nothing is started;
 //   running tasks are left to finish.
 // - A start request without a reply is in doubt. It is resolved by the reply to
-//   a stop request, by the expiry of every lease that was ever requested, or by
-//   a restart of the backend server.
+//   a stop request or by the expiry of every lease that was ever requested.
+// - When the backend server restarts, a start request that was on its way may
+//   have reached either incarnation. Whether its task runs is only taken from a
+//   poll that was sent after the start was confirmed.
+// - From the loss of a connection to the backend server until the next poll
+//   reply, it may be another incarnation, with another clock and other numbers
+//   of ends. Until then nothing is started, no lease is extended and no end is
+//   acknowledged.
 
 #ifndef CACTUSMAST_TASK_EXECUTOR_H_
 #define CACTUSMAST_TASK_EXECUTOR_H_
@@ -186,7 +192,8 @@
     instant mStartBy{};     // if queued until then, it is returned
     instant mStopBy{};      // if running then, it is stopped
     instant mStartSentAt{}; // 0: not started
-    instant mConfirmedAt{}; // when its start or stop was confirmed; 0: neither
+    instant mConfirmedAt{}; // when its start or stop was last confirmed, by a
+                            // reply or a list of running tasks; 0: never
     bool mSeenRunning = false; // listed by some poll reply
     uint32_t mPercent = 0;     // progress in the last poll reply that listed it
     instant mPercentAt{};      // when that reply came
@@ -196,8 +203,9 @@
     bool mStopAcknowledged = false;
     instant mNextStop{}; // when the stop request is sent again
     attempt_outcome mStopOutcome = attempt_outcome::Stopped;
-    uint32_t mRetries = 0; // new starts after a refusal
-    uint32_t mResends = 0; // start requests that got no reply
+    uint32_t mRetries = 0;      // new starts after a refusal
+    uint32_t mResends = 0;      // start requests that got no reply
+    bool mAwaitsResend = false; // sent again once no restart is suspected
   };
 
   struct entry_link
@@ -237,11 +245,16 @@
   void BeginStop(task& aTask, attempt_outcome aOutcome, instant aNow);
   void SendStop(const task_key& aTask, uint32_t aRunNumber);
   void SendPoll(instant aNow);
+  void OnDisconnected(instant aNow);
+  bool IsRestartSuspected() const { return mRestartSuspectedAt.count() != 0; }
   // How long the backend server may delay the reply to the next poll.
   milliseconds PollWait(instant aNow) const;
   // Sends a new start request after a refusal that it can avoid, or gives the
   // start up after kMaxStartRetries or in an evacuation.
   void RetryStart(task& aTask, instant aNow);
+  // Sends a start request without a reply again, unless that has to wait or is
+  // pointless.
+  void ResendStart(task& aTask, instant aNow);
   void GiveUpStart(task& aTask, attempt_outcome aWhy, instant aNow);
   void Requeue(task& aTask);
   // Reports the attempt and removes the task.
@@ -269,6 +282,7 @@
   // Stops the tasks that have stalled, after a poll reply.
   void StopStalledTasks(instant aNow);
   void CheckIncarnation(int64_t aStartTimeMs, instant aNow);
+  bool IsOutdated(const server_announcement& aAnnouncement) const;
   void SetServer(const server_announcement& aServer);
   void CheckCold(instant aNow);
   bool IsRestored() const { return mRestoredUntil.count() != 0; }
@@ -327,7 +341,11 @@
   uint64_t mLastPollNumber = 0;
   uint64_t mNewestPollReply = 0; // number of the newest poll with a reply
   instant mLastPollReplyAt{};    // when that reply came
-  uint64_t mLastEndSeen = 0;     // number of the newest end of this incarnation
+  // When the connection was last lost, so that the backend server may have
+  // restarted; 0: a reply to a later poll has shown its incarnation.
+  instant mRestartSuspectedAt{};
+  instant mIncarnationSince{}; // when the current incarnation became known
+  uint64_t mLastEndSeen = 0;   // number of the newest end of this incarnation
   int64_t mServerStartTimeMs = 0; // names its incarnation; 0: not known
   bool mHasStrays = true;         // assumed until the first poll reply
   std::map<task_key, instant> mStrayStops; // when each is stopped again
--- a/cactusmast/task_executor_polls.cc
+++ b/cactusmast/task_executor_polls.cc
@@ -47,11 +47,13 @@
   poll_request request;
   request.mNumber = ++mLastPollNumber;
   request.mFencingToken = mFencingToken;
-  request.mLastEndSeen = mLastEndSeen;
+  // Another incarnation would drop ends of its own up to this number.
+  request.mLastEndSeen = IsRestartSuspected() ? 0 : mLastEndSeen;
   // The lease of a backend server that has timed out is not extended, so that
   // its tasks end even if they run on unobserved. Before its clock is known,
   // the end of a lease cannot be given.
-  bool responsive = mClockKnown && aNow - mLastPollReplyAt < kServerTimeout;
+  bool responsive = mClockKnown && !IsRestartSuspected() &&
+                    aNow - mLastPollReplyAt < kServerTimeout;
   request.mLeaseUntilMs = responsive ? ExtendLease(aNow) : 0;
   request.mWaitMs =
     responsive && !mHasStrays ? uint32_t(PollWait(aNow).count()) : 0;
@@ -90,6 +92,10 @@
   if (aResult == poll_result::FencedOff) {
     mFencingToken += kFencingTokenStep;
   }
+  if (aResult == poll_result::Disconnected) {
+    OnDisconnected(aNow);
+    return;
+  }
   if (aResult != poll_result::Ok) {
     mNextPoll = aNow + kPollRetryInterval;
     return;
@@ -104,6 +110,9 @@
   mClockOffsetMs = aSnapshot.mClockMs - ToMs(aNow);
   CheckIncarnation(aSnapshot.mStartTimeMs, aNow);
   mClockKnown = true;
+  if (sentAt >= mRestartSuspectedAt) {
+    mRestartSuspectedAt = instant(0);
+  }
   if (!mReachable) {
     mReachable = true;
     MarkChanged();
@@ -158,6 +167,9 @@
                 found->second.mState != task_state::Queued;
     if (ours) {
       found->second.mSeenRunning = true;
+      if (found->second.mConfirmedAt.count() == 0) {
+        found->second.mConfirmedAt = aNow;
+      }
       OnProgress(found->second, run.mPercent, aNow);
       listed.insert(run.mTask);
       continue;
@@ -247,16 +259,26 @@
   if (first) {
     return;
   }
+  mIncarnationSince = aNow;
   mClockKnown = false;
   mEvents.Emit(
     event_code::BackendReborn,
-    { { "server", mServer.mId }, { "lost", std::to_string(Running()) } });
-  EndAllStarted(attempt_outcome::Lost, aNow);
+    { { "server", mServer.mId }, { "unsettled", std::to_string(Running()) } });
+  mNextPoll = aNow; // shows which of the tasks run on the new incarnation
   mFailuresInRow = 0;
   mQuarantinedUntil = instant(0);
   mSlowness = robust_slowness(IgnoresOutliers());
 }
 
+void
+task_executor::OnDisconnected(instant aNow)
+{
+  // One poll at once, because the connection may have been lost for another
+  // reason; the next ones wait, because a restart takes longer.
+  mNextPoll = IsRestartSuspected() ? aNow + kPollRetryInterval : aNow;
+  mRestartSuspectedAt = aNow;
+}
+
 void
 task_executor::EndAllStarted(attempt_outcome aOutcome, instant aNow)
 {
--- a/cactusmast/task_executor_starts.cc
+++ b/cactusmast/task_executor_starts.cc
@@ -81,11 +81,14 @@
                             int64_t aClockMs,
                             instant aNow)
 {
-  if (aClockMs > 0) {
+  auto found = mTasks.find(aTask);
+  // A reply of a former incarnation carries that one's clock.
+  bool sameIncarnation =
+    found != mTasks.end() && found->second.mStartSentAt >= mIncarnationSince;
+  if (aClockMs > 0 && sameIncarnation) {
     mClockOffsetMs = aClockMs - ToMs(aNow);
     mClockKnown = true;
   }
-  auto found = mTasks.find(aTask);
   bool current = found != mTasks.end() &&
                  found->second.mRunNumber == aRunNumber &&
                  (found->second.mState == task_state::Starting ||
@@ -147,13 +150,25 @@
     tracked.mConfirmedAt = aNow;
     return;
   }
-  bool mayResend = !tracked.mStopping && mReachable && !IsEvacuated();
-  if (mayResend && ++tracked.mResends <= kMaxStartResends) {
-    SendStart(tracked, aNow);
-    return;
-  }
   tracked.mResends++;
-  GiveUpStart(tracked, attempt_outcome::Lost, aNow);
+  tracked.mAwaitsResend = true;
+  ResendStart(tracked, aNow);
+}
+
+void
+task_executor::ResendStart(task& aTask, instant aNow)
+{
+  // A new incarnation may have another capacity, service or labels.
+  bool restarted = aTask.mStartSentAt < mIncarnationSince;
+  bool pointless = aTask.mStopping || !mReachable || IsEvacuated() ||
+                   restarted || aTask.mResends > kMaxStartResends;
+  if (pointless) {
+    aTask.mAwaitsResend = false;
+    GiveUpStart(aTask, attempt_outcome::Lost, aNow);
+  } else if (!IsRestartSuspected()) {
+    aTask.mAwaitsResend = false;
+    SendStart(aTask, aNow);
+  }
 }
 
 void
--- /dev/null
+++ b/cactusmast/testing/task_executor_restart_test.cc
@@ -0,0 +1,183 @@
+// What an executor does when its backend server restarts under the same id.
+
+#include <doctest/doctest.h>
+
+#include "cactusmast/testing/known_server.h"
+
+namespace cactusmast::testing {
+namespace {
+
+// The backend server restarts; its first incarnation has ended kEnds tasks.
+constexpr int kEnds = 3;
+
+struct restarting_server : known_server
+{
+  restarting_server() { RunTasks(kEnds, milliseconds(60)); }
+
+  void Restart()
+  {
+    mStartTimeMs++;
+    mSequence = 0;
+  }
+
+  // A poll is outstanding when the connection is lost.
+  void LoseConnection()
+  {
+    mExecutor.OnPollReply(
+      mRunner.mPolls.back().mNumber, poll_result::Disconnected, {}, mNow);
+    Advance(milliseconds(1));
+  }
+
+  // The executor has sent one more start request.
+  start_request SendStart()
+  {
+    size_t before = mRunner.mStarts.size();
+    Dispatch();
+    Advance(milliseconds(1));
+    REQUIRE(mRunner.mStarts.size() == before + 1);
+    mLinks.mOutcomes.clear();
+    return mRunner.mStarts.back();
+  }
+};
+
+} // namespace
+
+TEST_CASE("a task that runs on a restarted backend server is not lost")
+{
+  // Guards against a second run elsewhere beside the one on the new
+  // incarnation.
+  restarting_server world;
+  const start_request started = world.SendStart();
+  world.Restart();
+  world.ReplyToStart(start_result::Started); // by the new incarnation
+  SUBCASE("an announcement shows the restart")
+  {
+    world.Announce(0);
+  }
+  SUBCASE("the reply to an earlier poll shows the restart")
+  {
+    world.ReplyToPoll({}, {});
+  }
+  world.Advance(milliseconds(1));
+  CHECK(world.mLinks.mOutcomes.empty());
+  world.ReplyToPoll({ { started.mTask, started.mRunNumber, 50 } }, {});
+  world.Advance(milliseconds(1));
+  CHECK(world.mLinks.mOutcomes.empty());
+  CHECK(world.mRunner.mStops.empty());
+  world.ReplyToPoll(
+    {}, { { 1, started.mTask, started.mRunNumber, end_kind::Done } });
+  world.Advance(milliseconds(1));
+  CHECK(world.mLinks.mOutcomes ==
+        std::vector<attempt_outcome>{ attempt_outcome::Done });
+}
+
+TEST_CASE("a task of the former incarnation is lost at the first poll reply")
+{
+  // Guards against tasks that nobody runs and nobody places again.
+  restarting_server world;
+  const start_request started = world.SendStart();
+  world.ReplyToStart(start_result::Started);
+  world.ReplyToPoll({ { started.mTask, started.mRunNumber, 50 } }, {});
+  world.Advance(milliseconds(1));
+  world.Restart();
+  world.LoseConnection();
+  world.ReplyToPoll({}, {});
+  world.Advance(milliseconds(1));
+  CHECK(world.mLinks.mOutcomes ==
+        std::vector<attempt_outcome>{ attempt_outcome::Lost });
+}
+
+TEST_CASE("nothing starts from a lost connection until the next poll reply")
+{
+  // Guards against starts on an incarnation whose capacity is not known.
+  restarting_server world;
+  size_t starts = world.mRunner.mStarts.size();
+  world.Advance(milliseconds(1));
+  world.LoseConnection();
+  world.Dispatch();
+  world.Advance(milliseconds(1));
+  CHECK(world.mRunner.mStarts.size() == starts);
+  world.ReplyToPoll({}, {});
+  world.Advance(milliseconds(1));
+  CHECK(world.mRunner.mStarts.size() == starts + 1);
+}
+
+TEST_CASE("a start without a reply is not sent again to another incarnation")
+{
+  // Guards against a task that starts on the new incarnation unasked.
+  restarting_server world;
+  world.SendStart();
+  size_t starts = world.mRunner.mStarts.size();
+  world.Restart();
+  world.LoseConnection();
+  world.ReplyToStart(start_result::NoAnswer);
+  CHECK(world.mRunner.mStarts.size() == starts);
+  world.ReplyToPoll({}, {});
+  world.Advance(milliseconds(1));
+  CHECK(world.mRunner.mStarts.size() == starts);
+  // The start may still be carried out, until the stop is acknowledged.
+  REQUIRE(world.mRunner.mStops.size() == 1);
+  CHECK(world.mLinks.mOutcomes.empty());
+  const stop_request stop = world.mRunner.mStops[0];
+  world.mExecutor.OnStopReply(stop.mTask, stop.mRunNumber, true, world.mNow);
+  world.ReplyToPoll({}, {}); // to a poll from before the stop
+  CHECK(world.mLinks.mOutcomes.empty());
+  world.Advance(milliseconds(1));
+  world.ReplyToPoll({}, {});
+  world.Advance(milliseconds(1));
+  CHECK(world.mLinks.mOutcomes ==
+        std::vector<attempt_outcome>{ attempt_outcome::Lost });
+}
+
+TEST_CASE("a start without a reply is sent again once a poll finds the same "
+          "incarnation")
+{
+  // Guards against tasks given up because a single connection was reset.
+  restarting_server world;
+  world.SendStart();
+  size_t starts = world.mRunner.mStarts.size();
+  world.LoseConnection();
+  world.ReplyToStart(start_result::NoAnswer);
+  CHECK(world.mRunner.mStarts.size() == starts);
+  world.ReplyToPoll({}, {});
+  world.Advance(milliseconds(1));
+  CHECK(world.mRunner.mStarts.size() == starts + 1);
+  CHECK(world.mRunner.mStops.empty());
+}
+
+TEST_CASE("the poll after a lost connection acknowledges no end and extends no "
+          "lease")
+{
+  // Guards against ends of the new incarnation that are dropped unseen, and
+  // against a lease by the clock of the former one, which is too long.
+  restarting_server world;
+  world.Advance(milliseconds(1));
+  REQUIRE(world.mRunner.mPolls.back().mLastEndSeen == kEnds);
+  REQUIRE(world.mRunner.mPolls.back().mLeaseUntilMs > 0);
+  world.LoseConnection();
+  CHECK(world.mRunner.mPolls.back().mLastEndSeen == 0);
+  CHECK(world.mRunner.mPolls.back().mLeaseUntilMs == 0);
+  world.ReplyToPoll({}, {}); // the same incarnation
+  world.Advance(milliseconds(1));
+  CHECK(world.mRunner.mPolls.back().mLastEndSeen == kEnds);
+  CHECK(world.mRunner.mPolls.back().mLeaseUntilMs > 0);
+}
+
+TEST_CASE("a delayed announcement does not replace the incarnation that a poll "
+          "has shown")
+{
+  // Guards against a former incarnation's capacity, and against tasks of the
+  // current one that are reported as lost.
+  restarting_server world;
+  server_announcement former = *world.mExecutor.Announcement();
+  former.mSequence += 1;
+  former.mCapacity = { 64000, 1000, 0 };
+  world.Restart();
+  world.Advance(milliseconds(1));
+  world.ReplyToPoll({}, {});
+  world.mExecutor.OnAnnouncement(former, world.mNow);
+  CHECK(world.mExecutor.Free().mCpuMillis == 32000);
+  CHECK(world.mEvents.mCounts[event_code::BackendReborn] == 1);
+}
+
+} // namespace cactusmast::testing
