Placement drops all tasks of a job that is refused for one late step

Cause: while under a tenth of the capacity is free, ShedLate decides for each task whether it is late. For a job with parallel steps of different length the tasks of the longer step are late first; the job is refused and erased, and the tasks of the other step stayed in the list that TryPlace walks, which looks the job up and throws.

Change: the tasks of the refused jobs leave the list before the jobs end. It works because nothing else ends a job between the list's making and its use.

The new test fails before and passes now.

--- a/cactusmast/job_coordinator_placement.cc
+++ b/cactusmast/job_coordinator_placement.cc
@@ -9,6 +9,18 @@
 
 using namespace detail;
 
+namespace {
+
+void
+EraseTasksOf(const std::set<uint64_t>& aJobs, std::vector<task_key>* aTasks)
+{
+  auto isOne = [&](const task_key& aKey) { return aJobs.count(aKey.mJob) > 0; };
+  aTasks->erase(std::remove_if(aTasks->begin(), aTasks->end(), isOne),
+                aTasks->end());
+}
+
+} // namespace
+
 job_coordinator::waiting_key
 job_coordinator::WaitingKey(const job& aJob, const task_key& aKey) const
 {
@@ -213,6 +225,10 @@
       remaining.push_back(key);
     }
   }
+  remaining.insert(remaining.end(), last.begin(), last.end());
+  // One late step ends the job, though tasks of its other steps may not be
+  // late.
+  EraseTasksOf(shed, &remaining);
   for (uint64_t id : shed) {
     Finish(id,
            { job_ending::Refused,
@@ -220,7 +236,6 @@
              kCapacityRetryAfter },
            aNow);
   }
-  remaining.insert(remaining.end(), last.begin(), last.end());
   if (!deferred.empty()) {
     last = PlaceableDeferred(deferred, aNow);
     remaining.insert(remaining.end(), last.begin(), last.end());
--- a/cactusmast/testing/job_coordinator_test.cc
+++ b/cactusmast/testing/job_coordinator_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <map>
 #include <vector>
 
@@ -68,13 +69,15 @@
   // aRunMs: of the job's task, which has ended; 0: it has not.
   void Report(peer_id aPeer, uint32_t aCpuMillis, uint32_t aRunMs = 0)
   {
+    uint32_t used = std::min(mUsedMillis, aCpuMillis);
     wire::server_report_msg report;
     report.state = uint8_t(server_state::Ready);
     report.service = "s";
     report.cpu_millis = aCpuMillis;
-    report.free_cpu_millis = int32_t(aCpuMillis);
+    report.free_cpu_millis = int32_t(aCpuMillis - used);
     report.memory_mb = 1024;
     report.free_memory_mb = 1024;
+    report.room_in_ms = used > 0 ? 500 : 0;
     report.slowness_permille = 2000;
     if (aRunMs > 0) {
       report.ends.emplace_back(
@@ -84,14 +87,18 @@
   }
   void SubmitLarge()
   {
-    job_request request;
-    request.mCaller = 1;
-    request.mJob = 7;
     job_step step;
     step.mCount = 1;
     step.mSize.mCpuMillis = kLargeMillis;
     step.mDeclaredMs = 100;
-    request.mSubmission.mSteps.push_back(step);
+    Submit({ step });
+  }
+  void Submit(const std::vector<job_step>& aSteps)
+  {
+    job_request request;
+    request.mCaller = 1;
+    request.mJob = 7;
+    request.mSubmission.mSteps = aSteps;
     request.mTable = mTable;
     request.mRoute = &mTable->Config().mRoutes[0];
     mCoordinator.Submit(std::move(request), mNow);
@@ -111,6 +118,7 @@
   no_events mEvents;
   recorded_dispatches mPorts;
   std::map<peer_id, uint32_t> mCpuMillis; // of the executors' servers
+  uint32_t mUsedMillis = 0;               // on each server, by other entries
   std::shared_ptr<const route_table> mTable;
   job_coordinator mCoordinator;
 };
@@ -166,4 +174,33 @@
   }
 }
 
+TEST_CASE("a job is refused as a whole when one of its parallel steps is late")
+{
+  // Guards against an entry that ends when it places the job's other step.
+  new_entry entry;
+  entry.mUsedMillis = kLargeMillis;
+  entry.AddExecutor(1, kLargeMillis);
+  job_step longer;
+  longer.mCount = 2;
+  longer.mSize.mCpuMillis = 3000;
+  longer.mDeclaredMs = 800;
+  job_step shorter = longer;
+  shorter.mDeclaredMs = 60;
+  SUBCASE("the longer step comes first")
+  {
+    entry.Submit({ longer, shorter });
+  }
+  SUBCASE("the shorter step comes first")
+  {
+    entry.Submit({ shorter, longer });
+  }
+  // The objective passes after 1000 ms and twice the longer run time.
+  entry.Pass(milliseconds(2600));
+  REQUIRE(entry.mPorts.mOutcomes.size() == 1);
+  CHECK(entry.mPorts.mOutcomes[0].mEnding == job_ending::Refused);
+  CHECK(entry.mPorts.mDispatches.empty());
+  CHECK(entry.mCoordinator.OpenJobs() == 0);
+  CHECK(entry.mCoordinator.WaitingTasks() == 0);
+}
+
 } // namespace cactusmast::testing
