Dispatches to an executor whose connection has just closed are returned

By the interface, sending may close a connection and report that at once. SendDispatches then created an empty executor by operator[], took the view of another one for it and counted tasks as placed there; the check for silent executors did the same. Today's transport closes later, so no caller has met it.

Change: tasks of a connection that is gone wait again, as if they had not been placed; the check skips executors that are gone.

--- a/cactusmast/job_coordinator.h
+++ b/cactusmast/job_coordinator.h
@@ -378,6 +378,8 @@
     const std::vector<task_key>& aUnplaced);
   // Undoes the reservations of aJob and adds its tasks to aUnplaced.
   void Unplace(job& aJob, std::vector<task_key>* aUnplaced);
+  // Makes a reserved task wait again, as if it had not been placed.
+  void ReturnReserved(job& aJob, const task_key& aKey);
   // Whether free capacity is scarce and aJob, waiting until all its tasks fit,
   // keeps little of it idle.
   static bool MayWaitForAll(const job& aJob, const service_capacity& aCapacity);
--- a/cactusmast/job_coordinator_executors.cc
+++ b/cactusmast/job_coordinator_executors.cc
@@ -458,8 +458,12 @@
     }
   }
   for (peer_id peer : timedOut) {
+    auto found = mExecutors.find(peer);
+    if (found == mExecutors.end()) {
+      continue; // a message sent because of another one's loss has closed it
+    }
     mEvents.Emit(event_code::PeerSilent,
-                 { { "peer", mViews[mExecutors[peer].mViewIndex].mName } });
+                 { { "peer", mViews[found->second.mViewIndex].mName } });
     mLinks.Close(peer);
     OnExecutorDown(peer, aNow);
   }
--- a/cactusmast/job_coordinator_placement.cc
+++ b/cactusmast/job_coordinator_placement.cc
@@ -164,21 +164,27 @@
     for (uint32_t index : at->second) {
       view.mFree += size;
       view.mUnreportedCpuMillis -= size.mCpuMillis;
-      task& one = aJob.mTasks[stepNumber][index];
-      one.mState = task_state::Waiting;
-      one.mExecutor = 0;
-      one.mAttempt--;
-      mCounters.mAttempts--;
       task_key key{ id, stepNumber, index };
-      mWaiting.insert(WaitingKey(aJob, key));
-      CountUsed(aJob, stepNumber, -1);
-      CountQueued(aJob, stepNumber, 1);
+      ReturnReserved(aJob, key);
       aUnplaced->push_back(key);
     }
     at = mPendingDispatches.erase(at);
   }
 }
 
+void
+job_coordinator::ReturnReserved(job& aJob, const task_key& aKey)
+{
+  task& one = TaskOf(aJob, aKey);
+  one.mState = task_state::Waiting;
+  one.mExecutor = 0;
+  one.mAttempt--;
+  mCounters.mAttempts--;
+  CountUsed(aJob, aKey.mStep, -1);
+  CountQueued(aJob, aKey.mStep, 1);
+  mWaiting.insert(WaitingKey(aJob, aKey));
+}
+
 const service_capacity&
 job_coordinator::CapacityFor(
   const job& aJob,
@@ -354,7 +360,16 @@
   for (const auto& [destination, indexes] : mPendingDispatches) {
     auto [peer, id, stepNumber, estimateMs] = destination;
     job& owner = mJobs.at(id);
-    executor& peerState = mExecutors[peer];
+    auto found = mExecutors.find(peer);
+    if (found == mExecutors.end()) {
+      // Sending an earlier dispatch has closed the connection.
+      for (uint32_t index : indexes) {
+        ReturnReserved(owner, { id, stepNumber, index });
+      }
+      mCapacityChanged = true; // so that they are placed again
+      continue;
+    }
+    executor& peerState = found->second;
     const job_step& step = owner.mSubmission.mSteps[stepNumber];
     wire::start_tasks_msg dispatch;
     dispatch.offer = ++peerState.mLastDispatchNumber;
--- a/cactusmast/testing/job_coordinator_test.cc
+++ b/cactusmast/testing/job_coordinator_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <vector>
 
@@ -25,6 +26,9 @@
   void SendDispatch(peer_id aExecutor, wire::start_tasks_msg) override
   {
     mDispatches[aExecutor]++;
+    if (mOnDispatch) {
+      mOnDispatch(aExecutor);
+    }
   }
   void SendStop(peer_id, wire::stop_tasks_msg) override {}
   void Subscribe(peer_id, bool) override {}
@@ -37,6 +41,7 @@
   double NextUniform() override { return 0.5; }
 
   std::map<peer_id, uint32_t> mDispatches; // by executor
+  std::function<void(peer_id)> mOnDispatch;
   std::vector<job_outcome> mOutcomes;
 };
 
@@ -203,4 +208,29 @@
   CHECK(entry.mCoordinator.WaitingTasks() == 0);
 }
 
+TEST_CASE("a dispatch that closes the connection loses no other task")
+{
+  // Guards against a task placed at an executor that is not connected any more.
+  new_entry entry;
+  entry.AddExecutor(1, kLargeMillis);
+  entry.mPorts.mOnDispatch = [&](peer_id aPeer) {
+    entry.mCpuMillis.erase(aPeer);
+    entry.mCoordinator.OnExecutorDown(aPeer, entry.mNow);
+  };
+  job_step step;
+  step.mCount = 1;
+  step.mSize.mCpuMillis = 1000;
+  step.mDeclaredMs = 100;
+  entry.Submit({ step, step }); // a dispatch each
+  CHECK(entry.mPorts.mDispatches[1] == 1);
+  CHECK(entry.mCoordinator.BusyExecutors().empty());
+  CHECK(entry.mCoordinator.WaitingTasks() == 1);
+  entry.mPorts.mOnDispatch = nullptr;
+  entry.AddExecutor(2, kLargeMillis);
+  entry.Pass(milliseconds(100));
+  CHECK(entry.mPorts.mDispatches[2] == 1);
+  entry.Pass(milliseconds(1000)); // the first one may have run for a while
+  CHECK(entry.mPorts.mDispatches[2] == 2);
+}
+
 } // namespace cactusmast::testing
