Executors act for an entry under a lease from the time its message was sent

Cause: an executor counted its entry as alive from the time at which it read a message. A dispatch that the network had held up was started when the partition ended, though the entry had closed the connection and placed the tasks elsewhere.

Change: reports carry the executor's steady clock; dispatches and heartbeats carry it back, plus the time since that report. What an executor does for an entry, it does for kEntryTimeout from then. A dispatch whose lease is over is refused (event 347), a start request carries the end of the lease, and stops and subscriptions no longer count as a sign of life (nor replace a heartbeat).

--- a/cactusmast/events.cc
+++ b/cactusmast/events.cc
@@ -163,6 +163,10 @@
       "task_stalled",
       "A running task made no progress for too long; it is being stopped, and "
       "its entry places it again." },
+    { e::DispatchExpired,
+      s::Warning,
+      "dispatch_expired",
+      "A dispatch was refused because it had been held up on its way." },
     { e::JobAccepted, s::Info, "job_accepted", "A job was admitted." },
     { e::JobRefused, s::Info, "job_refused", "A submission was refused." },
     { e::JobDecided,
--- a/cactusmast/events.h
+++ b/cactusmast/events.h
@@ -60,6 +60,7 @@
   SubsetResized = 344,
   ServerSpeedChanged = 345,
   TaskStalled = 346,
+  DispatchExpired = 347,
   JobAccepted = 400,
   JobRefused = 401,
   JobDecided = 402,
--- a/cactusmast/job_coordinator.h
+++ b/cactusmast/job_coordinator.h
@@ -198,6 +198,9 @@
   size_t PlaceableServers() const;
   // Executors with open tasks, which have to get heartbeats.
   const std::set<peer_id>& BusyExecutors() const { return mBusyExecutors; }
+  // The executor's steady clock in milliseconds, or an earlier time, for the
+  // messages to it; 0 if it is not known.
+  uint64_t ExecutorClockMs(peer_id aExecutor, instant aNow) const;
   const coordinator_counters& Counters() const { return mCounters; }
   timeout_model& TimeoutModel() { return mTimeoutModel; }
 
@@ -267,6 +270,7 @@
     size_t mViewIndex = 0;              // index in mViews
     executor_subset* mSubset = nullptr; // null until its service is known
     instant mLastHeard{};
+    uint64_t mClockMs = 0;     // its clock by the latest report; 0: not known
     instant mReportDueSince{}; // zero: no report is due
     uint64_t mLastDispatchNumber = 0;
     // Resources of the dispatches that no report accounts for yet, by number.
--- a/cactusmast/job_coordinator_executors.cc
+++ b/cactusmast/job_coordinator_executors.cc
@@ -126,6 +126,7 @@
   }
   executor& peerState = found->second;
   peerState.mLastHeard = aNow;
+  peerState.mClockMs = aReport.clock_ms;
   server_view& view = mViews[peerState.mViewIndex];
   auto state = server_state(
     std::min<uint8_t>(aReport.state, uint8_t(server_state::Count) - 1));
@@ -469,6 +470,19 @@
   }
 }
 
+// The report was on its way for a while, so the clock is ahead of the result by
+// that time and never behind it.
+uint64_t
+job_coordinator::ExecutorClockMs(peer_id aExecutor, instant aNow) const
+{
+  auto found = mExecutors.find(aExecutor);
+  if (found == mExecutors.end() || found->second.mClockMs == 0) {
+    return 0;
+  }
+  return found->second.mClockMs +
+         uint64_t(ToMs(aNow - found->second.mLastHeard));
+}
+
 size_t
 job_coordinator::PlaceableServers() const
 {
--- a/cactusmast/task_executor.cc
+++ b/cactusmast/task_executor.cc
@@ -88,18 +88,30 @@
 }
 
 void
-task_executor::OnHeartbeat(peer_id aEntry, instant aNow)
+task_executor::OnHeartbeat(peer_id aEntry,
+                           uint64_t aReceiverClockMs,
+                           instant aNow)
 {
   auto found = mEntries.find(aEntry);
-  if (found != mEntries.end()) {
-    found->second.mLastHeard = aNow;
+  if (found == mEntries.end()) {
+    return;
   }
+  instant sentAt = aReceiverClockMs == 0
+                     ? aNow
+                     : instant(milliseconds(int64_t(aReceiverClockMs)));
+  instant& lastHeard = found->second.mLastHeard;
+  lastHeard = std::max(lastHeard, std::min(sentAt, aNow));
+}
+
+bool
+task_executor::IsSilent(const entry_link& aEntry, instant aNow)
+{
+  return aNow - aEntry.mLastHeard > kEntryTimeout;
 }
 
 void
-task_executor::OnSubscription(peer_id aEntry, bool aWanted, instant aNow)
+task_executor::OnSubscription(peer_id aEntry, bool aWanted)
 {
-  OnHeartbeat(aEntry, aNow);
   auto found = mEntries.find(aEntry);
   if (found != mEntries.end()) {
     found->second.mSubscribed = aWanted;
@@ -116,10 +128,14 @@
   if (found == mEntries.end()) {
     return;
   }
-  found->second.mLastHeard = aNow;
+  OnHeartbeat(aEntry, aDispatch.receiver_clock_ms, aNow);
   found->second.mLastDispatchNumber = aDispatch.offer;
   mLastDispatchAt = aNow;
   OnEvacuations(DecodeEvacuations(aDispatch.evacuating.get(), aNow), aNow);
+  if (IsSilent(found->second, aNow)) {
+    RefuseExpired(&found->second, aDispatch, aNow);
+    return;
+  }
   auto spec = std::make_shared<const std::string>(aDispatch.spec);
   for (const wire::task_attempt& attempt : aDispatch.tasks) {
     Accept(aEntry, aDispatch, attempt, spec, aNow);
@@ -127,6 +143,28 @@
   MarkChanged();
 }
 
+// Its entry may have placed the tasks elsewhere already. If it has not, because
+// its message was only delayed, the refusal makes it do so.
+void
+task_executor::RefuseExpired(entry_link* aEntry,
+                             const wire::start_tasks_msg& aDispatch,
+                             instant aNow)
+{
+  mEvents.Emit(
+    event_code::DispatchExpired,
+    { { "entry", aEntry->mName },
+      { "job", FormatJobId(aDispatch.job) },
+      { "tasks", std::to_string(aDispatch.tasks.size()) },
+      { "age_ms", std::to_string(ToMs(aNow - aEntry->mLastHeard)) } });
+  for (const wire::task_attempt& attempt : aDispatch.tasks) {
+    aEntry->mEnds.push_back(
+      MakeTaskEnd({ aDispatch.job, aDispatch.step, attempt.index() },
+                  attempt.attempt(),
+                  0,
+                  attempt_outcome::NoRoom));
+  }
+}
+
 void
 task_executor::Accept(peer_id aEntry,
                       const wire::start_tasks_msg& aDispatch,
@@ -184,7 +222,6 @@
                            const wire::stop_tasks_msg& aRequest,
                            instant aNow)
 {
-  OnHeartbeat(aEntry, aNow);
   for (uint32_t index : aRequest.indexes) {
     task_key key{ aRequest.job, aRequest.step, index };
     auto found = mTasks.find(key);
@@ -435,8 +472,7 @@
   std::set<peer_id> timedOut;
   for (const auto& [key, tracked] : mTasks) {
     bool needsEntry = tracked.mEntry != 0 && !tracked.mStopping;
-    if (needsEntry &&
-        aNow - mEntries.at(tracked.mEntry).mLastHeard > kEntryTimeout) {
+    if (needsEntry && IsSilent(mEntries.at(tracked.mEntry), aNow)) {
       timedOut.insert(tracked.mEntry);
     }
   }
@@ -523,6 +559,7 @@
   report.mean_run_ms = uint32_t(mMeanRunMs);
   report.slowness_permille = uint32_t(Slowness() * 1000);
   report.labels = mServer.mLabels;
+  report.clock_ms = uint64_t(ToMs(aNow));
   return report;
 }
 
--- a/cactusmast/task_executor.h
+++ b/cactusmast/task_executor.h
@@ -15,7 +15,11 @@
 //   dispatched it, unless that is closed. Done, Failed, Stopped and Lost are
 //   only reported once the attempt no longer runs.
 // - Tasks of an entry that has sent nothing for kEntryTimeout are stopped, so
-//   that the caller may resubmit its job elsewhere.
+//   that the caller may resubmit its job elsewhere. What counts is when a
+//   message was sent, by this machine's clock, not when it is read: a message
+//   may be held up in the network or by a pause of this process while its entry
+//   gives this executor up and places the tasks elsewhere. A dispatch that was
+//   sent kEntryTimeout ago is refused.
 // - While the executor's data centre is being evacuated nothing is started;
 //   running tasks are left to finish.
 // - A start request without a reply is in doubt. It is resolved by the reply to
@@ -102,9 +106,10 @@
   void DetectStalls() { mDetectsStalls = true; }
   void OnEntryUp(peer_id aEntry, const std::string& aName, instant aNow);
   void OnEntryDown(peer_id aEntry, instant aNow);
-  void OnHeartbeat(peer_id aEntry, instant aNow);
+  // aReceiverClockMs: as in wire::start_tasks_msg.
+  void OnHeartbeat(peer_id aEntry, uint64_t aReceiverClockMs, instant aNow);
   // aWanted: whether the entry wants a report of each change of free capacity.
-  void OnSubscription(peer_id aEntry, bool aWanted, instant aNow);
+  void OnSubscription(peer_id aEntry, bool aWanted);
   // An update from an entry or the store; empty: the sender knows nothing. True
   // if other data centres are being evacuated now than before.
   bool OnEvacuations(const std::optional<evacuation_update>& aUpdate,
@@ -211,7 +216,7 @@
   struct entry_link
   {
     std::string mName;
-    instant mLastHeard{};
+    instant mLastHeard{}; // when its newest message was sent, or earlier
     instant mReportedAt{};
     uint64_t mLastDispatchNumber = 0;
     std::vector<wire::task_end> mEnds;
@@ -223,9 +228,15 @@
     server_state mReportedState = server_state::Absent;
   };
 
+  // Whether nothing that its entry sent within kEntryTimeout has been read.
+  static bool IsSilent(const entry_link& aEntry, instant aNow);
+
   using queue_key = std::pair<instant, task_key>;
   using task_map = std::unordered_map<task_key, task>;
 
+  void RefuseExpired(entry_link* aEntry,
+                     const wire::start_tasks_msg& aDispatch,
+                     instant aNow);
   void Accept(peer_id aEntry,
               const wire::start_tasks_msg& aDispatch,
               const wire::task_attempt& aAttempt,
--- a/cactusmast/task_executor_starts.cc
+++ b/cactusmast/task_executor_starts.cc
@@ -41,6 +41,14 @@
   request.mRunNumber = aTask.mRunNumber;
   request.mSpec = *aTask.mSpec;
   request.mLeaseUntilMs = ExtendLease(aNow);
+  // If this process is paused before the request leaves it, the backend server
+  // refuses the start once the entry may have placed the task elsewhere.
+  auto entry = mEntries.find(aTask.mEntry);
+  if (entry != mEntries.end()) {
+    instant until = entry->second.mLastHeard + kEntryTimeout;
+    request.mLeaseUntilMs =
+      std::min(request.mLeaseUntilMs, ToMs(until) + mClockOffsetMs);
+  }
   request.mFencingToken = mFencingToken;
   mRunner.Start(request);
 }
--- a/cactusmast/testing/known_server.h
+++ b/cactusmast/testing/known_server.h
@@ -151,7 +151,7 @@
   void Advance(duration aSpan)
   {
     mNow += aSpan;
-    mExecutor.OnHeartbeat(1, mNow);
+    mExecutor.OnHeartbeat(1, 0, mNow);
     mExecutor.Tick(mNow);
   }
 
--- a/cactusmast/testing/server_record_test.cc
+++ b/cactusmast/testing/server_record_test.cc
@@ -121,7 +121,7 @@
     instant until = mNow + aSpan;
     while (mNow < until) {
       mNow += milliseconds(10);
-      mExecutor.OnHeartbeat(1, mNow);
+      mExecutor.OnHeartbeat(1, 0, mNow);
       ReplyToPoll(aStartTimeMs);
       mExecutor.Tick(mNow);
     }
--- a/cactusmast/testing/sized_world.cc
+++ b/cactusmast/testing/sized_world.cc
@@ -10,6 +10,9 @@
 constexpr duration kStoreTick = milliseconds(100);
 constexpr duration kConnectInterval = milliseconds(100);
 constexpr duration kAnnouncementInterval = milliseconds(1500);
+// From the end of a cut until the end of a connection that was closed meanwhile
+// is seen.
+constexpr duration kCloseAfterCut = milliseconds(30);
 constexpr duration kLoadInterval = milliseconds(300);
 constexpr size_t kMaxRoutesPerLoad = 64;
 
@@ -189,8 +192,9 @@
       }
     }
     for (peer_id id : own) {
-      Send(id, true, [this, id] {
-        Executor(mLinks.at(id).mServer).OnHeartbeat(id, mNow);
+      uint64_t clockMs = process->mCore->ExecutorClockMs(id, mNow);
+      Send(id, true, [this, id, clockMs] {
+        Executor(mLinks.at(id).mServer).OnHeartbeat(id, clockMs, mNow);
       });
     }
   }
@@ -273,6 +277,8 @@
       mLinks[id] = { entryProcess->mIndex,
                      executorProcess->mIndex,
                      true,
+                     true,
+                     true,
                      entryProcess->mIncarnation,
                      executorProcess->mIncarnation };
       peer_identity who;
@@ -325,15 +331,12 @@
                   std::function<void()> aDeliver)
 {
   (aToExecutor ? mMessagesOut : mMessagesIn)++;
-  At(kMessageDelay, [this, aLink, aToExecutor, aDeliver] {
-    auto found = mLinks.find(aLink);
-    if (found == mLinks.end() || !found->second.mUp) {
-      return;
-    }
-    const link& connection = found->second;
-    if (IsCut(connection.mEntry, connection.mServer)) {
-      return;
-    }
+  const link& sender = mLinks.at(aLink);
+  if (!(aToExecutor ? sender.mEntryOpen : sender.mExecutorOpen)) {
+    return;
+  }
+  AfterCut(aLink, kMessageDelay, [this, aLink, aToExecutor, aDeliver] {
+    const link& connection = mLinks.at(aLink);
     size_t index = aToExecutor ? connection.mServer : connection.mEntry;
     uint64_t incarnation = aToExecutor ? connection.mExecutorIncarnation
                                        : connection.mEntryIncarnation;
@@ -343,13 +346,32 @@
               uint64_t currentIncarnation = aToExecutor
                                               ? mExecutors[index]->mIncarnation
                                               : mEntries[index]->mIncarnation;
-              if (mLinks.at(aLink).mUp && currentIncarnation == incarnation) {
+              const link& receiver = mLinks.at(aLink);
+              bool open =
+                aToExecutor ? receiver.mExecutorOpen : receiver.mEntryOpen;
+              if (open && currentIncarnation == incarnation) {
                 aDeliver();
               }
             });
   });
 }
 
+// Runs aDo after aDelay, or once the cut between the two ends is over: TCP
+// sends again what it could not deliver.
+void
+sized_world::AfterCut(peer_id aLink, duration aDelay, std::function<void()> aDo)
+{
+  At(aDelay, [this, aLink, aDo] {
+    const link& connection = mLinks.at(aLink);
+    auto cut = mCuts.find({ connection.mEntry, connection.mServer });
+    if (cut != mCuts.end() && mNow < cut->second) {
+      AfterCut(aLink, cut->second - mNow, aDo);
+      return;
+    }
+    aDo();
+  });
+}
+
 void
 sized_world::CloseLink(peer_id aLink, bool aNotifyEntry, bool aNotifyExecutor)
 {
@@ -358,25 +380,29 @@
     return;
   }
   found->second.mUp = false;
+  found->second.mEntryOpen &= aNotifyEntry;
+  found->second.mExecutorOpen &= aNotifyExecutor;
   link connection = found->second;
-  // A reset does not pass a cut: the other side only has its own timeout.
-  if (IsCut(connection.mEntry, connection.mServer)) {
-    return;
-  }
-  At(kMessageDelay, [this, aLink, connection, aNotifyEntry, aNotifyExecutor] {
+  // The end of a connection passes a cut after all that was sent before it.
+  bool cut = IsCut(connection.mEntry, connection.mServer);
+  duration delay = cut ? kCloseAfterCut : duration{};
+  auto notify = [this, aLink, connection, aNotifyEntry, aNotifyExecutor] {
     if (aNotifyEntry && mEntries[connection.mEntry]->mIncarnation ==
                           connection.mEntryIncarnation) {
       Deliver(false, connection.mEntry, [this, aLink, connection] {
+        mLinks.at(aLink).mEntryOpen = false;
         Coordinator(connection.mEntry).OnExecutorDown(aLink, mNow);
       });
     }
     if (aNotifyExecutor && mExecutors[connection.mServer]->mIncarnation ==
                              connection.mExecutorIncarnation) {
       Deliver(true, connection.mServer, [this, aLink, connection] {
+        mLinks.at(aLink).mExecutorOpen = false;
         Executor(connection.mServer).OnEntryDown(aLink, mNow);
       });
     }
-  });
+  };
+  AfterCut(aLink, kMessageDelay, [this, delay, notify] { At(delay, notify); });
 }
 
 void
--- a/cactusmast/testing/sized_world.h
+++ b/cactusmast/testing/sized_world.h
@@ -172,7 +172,7 @@
   // Stops the process for aSpan; its input waits.
   void PauseEntry(size_t aEntry, duration aSpan);
   void PauseExecutor(size_t aServer, duration aSpan);
-  // For aSpan messages between the two are lost and new connections fail.
+  // For aSpan messages between the two are held up and new connections fail.
   void Cut(size_t aEntry, size_t aServer, duration aSpan);
   // For aSpan the loads that the two send each other are lost.
   void CutEntries(size_t aEntry, size_t aOther, duration aSpan);
@@ -223,7 +223,9 @@
   {
     size_t mEntry = 0;
     size_t mServer = 0;
-    bool mUp = true;
+    bool mUp = true; // neither end has closed it
+    bool mEntryOpen = true;
+    bool mExecutorOpen = true;
     uint64_t mEntryIncarnation = 0;
     uint64_t mExecutorIncarnation = 0;
   };
@@ -237,6 +239,7 @@
   // Sends the load of the entry to all others.
   void SendLoad(entry& aFrom);
   void Send(peer_id aLink, bool aToExecutor, std::function<void()> aDeliver);
+  void AfterCut(peer_id aLink, duration aDelay, std::function<void()> aDo);
   void Deliver(bool aToExecutor, size_t aIndex, std::function<void()> aDo);
   void CloseLink(peer_id aLink, bool aNotifyEntry, bool aNotifyExecutor);
   // Closes the connection at both sides, each by its own timeout.
--- a/cactusmast/testing/sized_world_faults.cc
+++ b/cactusmast/testing/sized_world_faults.cc
@@ -67,6 +67,8 @@
     return;
   }
   mLinks.at(aLink).mUp = false;
+  mLinks.at(aLink).mEntryOpen = false;
+  mLinks.at(aLink).mExecutorOpen = false;
   if (mEntries[connection.mEntry]->mIncarnation ==
       connection.mEntryIncarnation) {
     Deliver(false, connection.mEntry, [this, aLink, connection] {
--- a/cactusmast/testing/sized_world_parts.h
+++ b/cactusmast/testing/sized_world_parts.h
@@ -48,8 +48,7 @@
   {
     mWorld.Send(aExecutor, true, [world = &mWorld, aExecutor, aWanted] {
       const link& connection = world->mLinks.at(aExecutor);
-      world->Executor(connection.mServer)
-        .OnSubscription(aExecutor, aWanted, world->mNow);
+      world->Executor(connection.mServer).OnSubscription(aExecutor, aWanted);
     });
   }
   void SendEvacuations(peer_id aExecutor) override
--- a/cactusmast/testing/task_executor_test.cc
+++ b/cactusmast/testing/task_executor_test.cc
@@ -152,7 +152,7 @@
   CHECK(atFirst > 0);
   world.AdvanceWithoutHeartbeat(seconds(5), {});
   CHECK(world.mLinks.mReports == atFirst);
-  world.mExecutor.OnSubscription(1, true, world.mNow);
+  world.mExecutor.OnSubscription(1, true);
   world.AdvanceWithoutHeartbeat(milliseconds(10), {});
   CHECK(world.mLinks.mReports == atFirst + 1);
   world.AdvanceWithoutHeartbeat(milliseconds(10050), {});
--- a/shell/coordinator_daemon.cc
+++ b/shell/coordinator_daemon.cc
@@ -130,13 +130,13 @@
 coordinator_daemon::SendDispatch(peer_id aExecutor,
                                  wire::start_tasks_msg aMessage)
 {
-  SendToExecutor(aExecutor, MakeMessage(std::move(aMessage)));
+  SendAsHeartbeat(aExecutor, MakeMessage(std::move(aMessage)));
 }
 
 void
 coordinator_daemon::SendStop(peer_id aExecutor, wire::stop_tasks_msg aMessage)
 {
-  SendToExecutor(aExecutor, MakeMessage(std::move(aMessage)));
+  mTransport->Send(aExecutor, MakeMessage(std::move(aMessage)));
 }
 
 void
@@ -144,7 +144,7 @@
 {
   wire::report_subscription_msg subscription;
   subscription.wanted = aWanted;
-  SendToExecutor(aExecutor, MakeMessage(subscription));
+  mTransport->Send(aExecutor, MakeMessage(subscription));
 }
 
 void
@@ -295,7 +295,7 @@
 }
 
 void
-coordinator_daemon::SendToExecutor(peer_id aExecutor, message aMessage)
+coordinator_daemon::SendAsHeartbeat(peer_id aExecutor, message aMessage)
 {
   auto found = mExecutorPeers.find(aExecutor);
   if (found != mExecutorPeers.end()) {
@@ -317,8 +317,8 @@
   return heartbeat;
 }
 
-// Every message to an executor counts as a heartbeat, so heartbeats go only to
-// executors that have been sent nothing else for kHeartbeatInterval.
+// Every dispatch counts as a heartbeat, so heartbeats go only to executors that
+// have been sent neither for kHeartbeatInterval.
 void
 coordinator_daemon::SendExecutorHeartbeats(instant aNow)
 {
@@ -365,8 +365,9 @@
                                           executor_peer& aState,
                                           instant aNow)
 {
-  SendToExecutor(aPeer,
-                 MakeMessage(MakeHeartbeat(&aState.mSentRevision, aNow)));
+  wire::entry_pulse_msg heartbeat = MakeHeartbeat(&aState.mSentRevision, aNow);
+  heartbeat.receiver_clock_ms = mCoordinator.ExecutorClockMs(aPeer, aNow);
+  SendAsHeartbeat(aPeer, MakeMessage(std::move(heartbeat)));
 }
 
 void
--- a/shell/coordinator_daemon.h
+++ b/shell/coordinator_daemon.h
@@ -205,7 +205,7 @@
                              instant aNow);
   // Sends the list of entries to executors that lack its newest revision.
   void SendEntryList(instant aNow);
-  void SendToExecutor(peer_id aExecutor, message aMessage);
+  void SendAsHeartbeat(peer_id aExecutor, message aMessage);
   // Sends the configuration to an entry of an older release that lacks it.
   void SendConfigTo(peer_id aPeer, entry_peer& aState, instant aNow);
   void RemoveEntryPeer(peer_id aPeer);
--- a/shell/executor_daemon.cc
+++ b/shell/executor_daemon.cc
@@ -170,11 +170,11 @@
       mExecutor.OnStopTasks(aPeer, *aMessage.Asstop_tasks(), now);
       break;
     case message_kind::report_subscription:
-      mExecutor.OnSubscription(
-        aPeer, aMessage.Asreport_subscription()->wanted, now);
+      mExecutor.OnSubscription(aPeer, aMessage.Asreport_subscription()->wanted);
       break;
     case message_kind::entry_pulse:
-      mExecutor.OnHeartbeat(aPeer, now);
+      mExecutor.OnHeartbeat(
+        aPeer, aMessage.Asentry_pulse()->receiver_clock_ms, now);
       AddEntries(aMessage.Asentry_pulse()->entries, mEntryPeers[aPeer], now);
       if (!mExecutor.OnEvacuations(
             DecodeEvacuations(aMessage.Asentry_pulse()->evacuating.get(), now),
--- a/standins/platform_load_main.cc
+++ b/standins/platform_load_main.cc
@@ -185,10 +185,10 @@
     } else if (aMessage.type == message_kind::stop_tasks) {
       mExecutor.OnStopTasks(aPeer, *aMessage.Asstop_tasks(), Now());
     } else if (aMessage.type == message_kind::report_subscription) {
-      mExecutor.OnSubscription(
-        aPeer, aMessage.Asreport_subscription()->wanted, Now());
-    } else {
-      mExecutor.OnHeartbeat(aPeer, Now());
+      mExecutor.OnSubscription(aPeer, aMessage.Asreport_subscription()->wanted);
+    } else if (aMessage.type == message_kind::entry_pulse) {
+      mExecutor.OnHeartbeat(
+        aPeer, aMessage.Asentry_pulse()->receiver_clock_ms, Now());
     }
   }
   void Report(peer_id aEntry, const wire::server_report_msg& aReport) override
