Signals are ignored from the end of the main loop to the exit

Cause: GLib restores the default action of a signal when the last source for it is removed, which daemon_loop::Run did before it logged the exit. Change: sources that do nothing are added first, so there is no moment without a handler; removing the handlers later or blocking signals in one thread would leave one.

Measured: the new test finds the default action before the change, and raises all three signals without effect now.

--- a/shell/daemon.cc
+++ b/shell/daemon.cc
@@ -38,6 +38,18 @@
   pthread_sigmask(aHow, &handled, nullptr);
 }
 
+// GLib restores the default action of a signal, which ends the process, when
+// the last source for it is removed. These sources stay until the process
+// exits.
+void
+IgnoreSignals()
+{
+  auto ignore = [](gpointer) -> gboolean { return G_SOURCE_CONTINUE; };
+  for (int signal : { SIGTERM, SIGINT, SIGHUP }) {
+    g_unix_signal_add(signal, ignore, nullptr);
+  }
+}
+
 // Removes a source if there is one.
 void
 RemoveSource(guint* aId)
@@ -126,6 +138,7 @@
   ArmTimer(milliseconds(TickIntervalMs()));
   TickSoon();
   g_main_loop_run(mLoop);
+  IgnoreSignals();
   for (guint source : signalSources) {
     g_source_remove(source);
   }
--- a/shell/testing/daemon_test.cc
+++ b/shell/testing/daemon_test.cc
@@ -106,6 +106,22 @@
   CHECK(Now() - startedAt >= milliseconds(400));
 }
 
+TEST_CASE("a signal that arrives while a program exits does not end it")
+{
+  // Guards against a drained process whose exit code says that it was killed.
+  draining_daemon daemon(milliseconds(0));
+  g_timeout_add(1, &RaiseTerminate, nullptr);
+  REQUIRE(daemon.Run(5000) == 0);
+  for (int signal : { SIGHUP, SIGINT, SIGTERM }) {
+    struct sigaction action
+    {};
+    REQUIRE(sigaction(signal, nullptr, &action) == 0);
+    bool ends = action.sa_handler == SIG_DFL;
+    REQUIRE_FALSE(ends);
+    std::raise(signal);
+  }
+}
+
 TEST_CASE("a signal that arrives while a program starts does not end it")
 {
   // Guards against a process that dies when it is told to reload as it starts.
