A restarted backend server gets no work before it announces itself

Cause: what an announcement says was used for whichever incarnation replied to polls. Only restored announcements were compared with it. Change: the backend server counts as absent until the announcement is that of the incarnation that replies. Where either names no incarnation, nothing changes.

Measured: the new test fails without the change and passes now. The cost is the time to the first heartbeat after a restart.

--- a/cactusmast/task_executor.cc
+++ b/cactusmast/task_executor.cc
@@ -311,11 +311,18 @@
   MarkChanged();
 }
 
+bool
+task_executor::IsDescribed() const
+{
+  bool named = mServerStartTimeMs != 0 && mServer.mStartTimeMs != 0;
+  return mServerStartTimeMs == mServer.mStartTimeMs ||
+         (!named && !IsRestored());
+}
+
 server_state
 task_executor::State(instant aNow) const
 {
-  bool unconfirmed = IsRestored() && mServerStartTimeMs != mServer.mStartTimeMs;
-  if (!mServerKnown || !mReachable || unconfirmed) {
+  if (!mServerKnown || !mReachable || !IsDescribed()) {
     return server_state::Absent;
   }
   if (mServer.mDraining || mDraining) {
--- a/cactusmast/task_executor.h
+++ b/cactusmast/task_executor.h
@@ -20,6 +20,8 @@
 //   may be held up in the network or by a pause of this process while its entry
 //   gives this executor up and places the tasks elsewhere. A dispatch that was
 //   sent kEntryTimeout ago is refused.
+// - Nothing is started on an incarnation of the backend server that has not
+//   announced its capacity, service and labels.
 // - While the executor's data centre is being evacuated nothing is started;
 //   running tasks are left to finish.
 // - A start request without a reply is in doubt. It is resolved by the reply to
@@ -293,6 +295,10 @@
   // Stops the tasks that have stalled, after a poll reply.
   void StopStalledTasks(instant aNow);
   void CheckIncarnation(int64_t aStartTimeMs, instant aNow);
+  // Whether mServer, with its capacity, service and labels, is the incarnation
+  // that replies to polls. Where either does not name its incarnation, an
+  // announcement counts and a restored one does not.
+  bool IsDescribed() const;
   bool IsOutdated(const server_announcement& aAnnouncement) const;
   void SetServer(const server_announcement& aServer);
   void CheckCold(instant aNow);
--- a/cactusmast/testing/task_executor_restart_test.cc
+++ b/cactusmast/testing/task_executor_restart_test.cc
@@ -163,6 +163,28 @@
   CHECK(world.mRunner.mPolls.back().mLeaseUntilMs > 0);
 }
 
+TEST_CASE(
+  "nothing starts on a restarted backend server before it announces its "
+  "capacity")
+{
+  // Guards against starts above the capacity of a smaller incarnation.
+  restarting_server world;
+  size_t starts = world.mRunner.mStarts.size();
+  world.Restart();
+  world.LoseConnection();
+  world.ReplyToPoll({}, {});
+  world.Dispatch();
+  world.Advance(milliseconds(1));
+  CHECK(world.mRunner.mStarts.size() == starts);
+  CHECK(world.mExecutor.State(world.mNow) == server_state::Absent);
+  world.Announce(0);
+  world.Advance(milliseconds(1));
+  world.ReplyToPoll({}, {});
+  world.Dispatch();
+  world.Advance(milliseconds(1));
+  CHECK(world.mRunner.mStarts.size() == starts + 1);
+}
+
 TEST_CASE("a delayed announcement does not replace the incarnation that a poll "
           "has shown")
 {
