--- a/cactusmast/testing/held_dispatch_test.cc
+++ b/cactusmast/testing/held_dispatch_test.cc
@@ -7,63 +7,40 @@
 #include "cactusmast/testing/sized_world.h"
 
 namespace cactusmast::testing {
-namespace {
 
 using std::chrono::seconds;
 
-wire::start_tasks_msg
-DispatchSentAt(instant aSentAt)
-{
-  wire::start_tasks_msg dispatch;
-  dispatch.offer = 1;
-  dispatch.job = 7;
-  dispatch.cpu_millis = 3000;
-  dispatch.estimate_ms = 60;
-  dispatch.start_within_ms = 40;
-  dispatch.stop_after_ms = 5000;
-  dispatch.tasks.emplace_back(0, 1);
-  dispatch.receiver_clock_ms =
-    uint64_t(std::chrono::duration_cast<milliseconds>(aSentAt).count());
-  return dispatch;
-}
-
-} // namespace
-
 TEST_CASE("a dispatch that was held up for the entry timeout starts nothing")
 {
   // Guards against a second run beside the one at another backend server.
   known_server world;
   world.AdvanceWithoutHeartbeat(seconds(1), {});
   instant sentAt = world.mNow - kEntryTimeout - milliseconds(1);
-  // The connection itself has been up for longer.
-  world.mExecutor.OnStartTasks(1, DispatchSentAt(sentAt), world.mNow);
+  world.DispatchSentAt(sentAt);
   world.mExecutor.Tick(world.mNow);
   CHECK(world.mRunner.mStarts.empty());
   CHECK(world.mLinks.mOutcomes ==
         std::vector<attempt_outcome>{ attempt_outcome::NoRoom });
   CHECK(world.mEvents.mCounts[event_code::DispatchExpired] == 1);
   // The entry is alive: its next dispatch is in time.
-  world.mExecutor.OnStartTasks(1, DispatchSentAt(world.mNow), world.mNow);
+  world.DispatchSentAt(world.mNow);
   world.mExecutor.Tick(world.mNow);
   CHECK(world.mRunner.mStarts.size() == 1);
 }
 
 TEST_CASE("held up messages of an entry do not prolong the runs of its tasks")
 {
-  // Guards against a task that runs on after its entry may have placed it
-  // again.
+  // Guards against a task that runs on here while it runs elsewhere.
   known_server world;
   instant sentAt = world.mNow;
-  world.mExecutor.OnStartTasks(1, DispatchSentAt(sentAt), world.mNow);
+  world.DispatchSentAt(sentAt);
   world.mExecutor.Tick(world.mNow);
   const start_request started = world.mRunner.mStarts.back();
   world.mExecutor.OnStartReply(
     started.mTask, started.mRunNumber, start_result::Started, 0, world.mNow);
   world.AdvanceWithoutHeartbeat(milliseconds(400),
                                 { { started.mTask, started.mRunNumber, 50 } });
-  auto sentAtMs =
-    uint64_t(std::chrono::duration_cast<milliseconds>(sentAt).count());
-  world.mExecutor.OnHeartbeat(1, sentAtMs + 10, world.mNow);
+  world.mExecutor.OnHeartbeat(1, uint64_t(ToMs(sentAt)) + 10, world.mNow);
   world.AdvanceWithoutHeartbeat(milliseconds(150),
                                 { { started.mTask, started.mRunNumber, 60 } });
   CHECK(world.mRunner.mStops.empty());
@@ -75,12 +52,11 @@
 TEST_CASE("a start request is refused by the backend server once its entry may "
           "have placed the task again")
 {
-  // Guards against a pause of the executor between its decision and the
-  // request.
+  // Guards against a pause of the executor right after its decision.
   known_server world;
   world.AdvanceWithoutHeartbeat(seconds(1), {});
   instant sentAt = world.mNow - milliseconds(300);
-  world.mExecutor.OnStartTasks(1, DispatchSentAt(sentAt), world.mNow);
+  world.DispatchSentAt(sentAt);
   world.mExecutor.Tick(world.mNow);
   REQUIRE(world.mRunner.mStarts.size() == 1);
   int64_t serverClockMs = 1000; // in each poll reply
--- a/cactusmast/testing/known_server.h
+++ b/cactusmast/testing/known_server.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "cactusmast/task_executor.h"
+#include "cactusmast/time_spans.h"
 
 namespace cactusmast::testing {
 
@@ -112,10 +113,24 @@
   void Dispatch(const evacuation_tracker* aEvacuations = nullptr,
                 uint32_t aTasks = 1)
   {
-    wire::start_tasks_msg dispatch;
+    wire::start_tasks_msg dispatch = MakeDispatch(aTasks);
     if (aEvacuations != nullptr) {
       dispatch.evacuating = EncodeEvacuations(*aEvacuations, mNow);
     }
+    mExecutor.OnStartTasks(1, dispatch, mNow);
+  }
+
+  // The same, sent at aSentAt by the executor's clock.
+  void DispatchSentAt(instant aSentAt)
+  {
+    wire::start_tasks_msg dispatch = MakeDispatch(1);
+    dispatch.receiver_clock_ms = uint64_t(ToMs(aSentAt));
+    mExecutor.OnStartTasks(1, dispatch, mNow);
+  }
+
+  static wire::start_tasks_msg MakeDispatch(uint32_t aTasks)
+  {
+    wire::start_tasks_msg dispatch;
     dispatch.offer = 1;
     dispatch.job = 7;
     dispatch.cpu_millis = 3000;
@@ -125,7 +140,7 @@
     for (uint32_t i = 0; i < aTasks; i++) {
       dispatch.tasks.emplace_back(i, 1);
     }
-    mExecutor.OnStartTasks(1, dispatch, mNow);
+    return dispatch;
   }
 
   void ReplyToStart(start_result aResult)
--- a/cactusmast/testing/task_executor_restart_test.cc
+++ b/cactusmast/testing/task_executor_restart_test.cc
@@ -44,8 +44,7 @@
 
 TEST_CASE("a task that runs on a restarted backend server is not lost")
 {
-  // Guards against a second run elsewhere beside the one on the new
-  // incarnation.
+  // Guards against a second run elsewhere beside the one that started here.
   restarting_server world;
   const start_request started = world.SendStart();
   world.Restart();
@@ -148,8 +147,7 @@
 TEST_CASE("the poll after a lost connection acknowledges no end and extends no "
           "lease")
 {
-  // Guards against ends of the new incarnation that are dropped unseen, and
-  // against a lease by the clock of the former one, which is too long.
+  // Guards against ends of the new incarnation that are dropped unseen.
   restarting_server world;
   world.Advance(milliseconds(1));
   REQUIRE(world.mRunner.mPolls.back().mLastEndSeen == kEnds);
@@ -188,8 +186,7 @@
 TEST_CASE("a delayed announcement does not replace the incarnation that a poll "
           "has shown")
 {
-  // Guards against a former incarnation's capacity, and against tasks of the
-  // current one that are reported as lost.
+  // Guards against tasks sized for the capacity of a former incarnation.
   restarting_server world;
   server_announcement former = *world.mExecutor.Announcement();
   former.mSequence += 1;
