Signals that a loop left ignored are handled again by the next loop

Cause: GLib installs its handler of a signal only with the first source for it. The sources that ignore signals after a loop stayed, so a second loop in the same process installed nothing, and the handler that doctest had put in between got the signal. No product program runs two loops.

Change: the next loop removes those sources before it adds its own.

--- a/shell/daemon.cc
+++ b/shell/daemon.cc
@@ -8,6 +8,7 @@
 #include <glib-unix.h>
 #include <sstream>
 #include <unistd.h>
+#include <vector>
 
 #include "cactusmast/time_spans.h"
 
@@ -39,16 +40,31 @@
 }
 
 // GLib restores the default action of a signal, which ends the process, when
-// the last source for it is removed. These sources stay until the process
-// exits.
-void
-IgnoreSignals()
+// the last source for it is removed. These sources do nothing and stay until
+// the process exits or runs another loop.
+class ignored_signals
 {
-  auto ignore = [](gpointer) -> gboolean { return G_SOURCE_CONTINUE; };
-  for (int signal : { SIGTERM, SIGINT, SIGHUP }) {
-    g_unix_signal_add(signal, ignore, nullptr);
+public:
+  void Begin()
+  {
+    auto ignore = [](gpointer) -> gboolean { return G_SOURCE_CONTINUE; };
+    for (int signal : { SIGTERM, SIGINT, SIGHUP }) {
+      mSources.push_back(g_unix_signal_add(signal, ignore, nullptr));
+    }
   }
-}
+  void End()
+  {
+    for (guint source : mSources) {
+      g_source_remove(source);
+    }
+    mSources.clear();
+  }
+
+private:
+  std::vector<guint> mSources;
+};
+
+ignored_signals sIgnoredSignals;
 
 // Removes a source if there is one.
 void
@@ -129,6 +145,7 @@
   mDrainTimeoutMs = aDrainTimeoutMs;
   mLoop = g_main_loop_new(nullptr, FALSE);
   mStartedAt = Now();
+  sIgnoredSignals.End();
   const guint signalSources[] = {
     g_unix_signal_add(SIGTERM, &daemon_loop::OnTerminate, this),
     g_unix_signal_add(SIGINT, &daemon_loop::OnInterrupt, this),
@@ -138,7 +155,7 @@
   ArmTimer(milliseconds(TickIntervalMs()));
   TickSoon();
   g_main_loop_run(mLoop);
-  IgnoreSignals();
+  sIgnoredSignals.Begin();
   for (guint source : signalSources) {
     g_source_remove(source);
   }
