Each second of an entry with work is logged with complete counts

Cause: under load two thirds of an entry's log lines are dropped in order of arrival, and nothing tells how busy its loop is, so that the hypotheses of the incident can't be told apart.

Change: event 435 entry_load, one line a second, kept when others are dropped: requests, decisions by kind, messages, connections, busy share, longest turn of the loop, wait of requests in the kernel where it tells that.

--- a/cactusmast/events.cc
+++ b/cactusmast/events.cc
@@ -225,6 +225,11 @@
       s::Info,
       "forwarding_changed",
       "This entry forwards more or fewer of its new jobs." },
+    { e::EntryLoad,
+      s::Info,
+      "entry_load",
+      "What an entry was asked for in the last second, what became of it, and "
+      "how well its loop kept up." },
     { e::ConfigAccepted,
       s::Info,
       "config_accepted",
--- a/cactusmast/events.h
+++ b/cactusmast/events.h
@@ -77,6 +77,7 @@
   JobForwarded = 432,
   ForwardEnded = 433,
   ForwardingChanged = 434,
+  EntryLoad = 435,
   ConfigAccepted = 500,
   ConfigRefused = 501,
   ConfigInForce = 502,
--- a/shell/coordinator_daemon.cc
+++ b/shell/coordinator_daemon.cc
@@ -60,6 +60,7 @@
       [this](const table_change& aChange) { OnEntryRows(aChange); },
       mLog)
   , mConfigFetcher(*this)
+  , mLoadLog(mLog, loop_load::OfMainContext())
   , mForwardingPolicy(aSettings.mProcessorMillis, *this)
 {
 }
@@ -84,17 +85,19 @@
     mBusySource = mAdapter.mBusySource != nullptr ? mAdapter.mBusySource
                                                   : &loop_load::OfMainContext();
   }
-  mFront =
-    std::move(http_server::Create(
-                mSettings.mFront,
-                kMaxRequestBytes,
-                [this](http_exchange& aExchange) { OnRequest(aExchange); },
-                [this](uint64_t aId) {
-                  CheckStandstill();
-                  OnCallerGone(aId);
-                  TickSoon();
-                })
-                .Value());
+  mFront = std::move(http_server::Create(
+                       mSettings.mFront,
+                       kMaxRequestBytes,
+                       [this](http_exchange& aExchange) {
+                         mLoadLog.OnRequest(aExchange.Waited());
+                         OnRequest(aExchange);
+                       },
+                       [this](uint64_t aId) {
+                         CheckStandstill();
+                         OnCallerGone(aId);
+                         TickSoon();
+                       })
+                       .Value());
   mFront->Observe(&mConnectionLog);
   mReadiness = std::move(http_server::Create(
                            mSettings.mReadiness,
@@ -223,6 +226,7 @@
   if (entry != mEntryPeers.end()) {
     OnEntryMessage(aPeer, entry->second, aMessage);
   } else if (aMessage.type == message_kind::server_report) {
+    mReports++;
     mCoordinator.OnReport(aPeer, *aMessage.Asserver_report(), Now());
   }
   TickSoon();
@@ -440,6 +444,7 @@
   });
   SendHeartbeats(now);
   RequestConfig(now);
+  mLoadLog.Tick(LoadTotals(), now);
   mTransport->Flush();
   mTransport->Sweep();
 }
--- a/shell/coordinator_daemon.h
+++ b/shell/coordinator_daemon.h
@@ -22,6 +22,7 @@
 #include "cactusmast/stored_row.h"
 #include "cactusmast/table_watcher.h"
 #include "shell/instance_daemon.h"
+#include "shell/load_log.h"
 #include "shell/loop_load.h"
 
 namespace cactusmast {
@@ -225,6 +226,7 @@
   std::optional<wire::entry_load_msg> NextLoad(instant aNow);
   void OnEntryLoad(const entry_peer& aSender,
                    const wire::entry_load_msg& aLoad);
+  load_totals LoadTotals() const;
   void AddDemandMetrics(metrics_page* aPage);
   void OnConfigRequest(peer_id aPeer,
                        const entry_peer& aState,
@@ -313,6 +315,8 @@
   instant mNextRegistration{};
   instant mDrainingSince{}; // zero: not draining
   instant mNextIdleClose{};
+  load_log mLoadLog;
+  uint64_t mReports = 0; // read from executors since the start
   const busy_source* mBusySource = nullptr; // null unless forwarding is on
   forwarding_policy mForwardingPolicy;
   sent_jobs mSentJobs;
--- a/shell/coordinator_load.cc
+++ b/shell/coordinator_load.cc
@@ -63,6 +63,17 @@
   }
 }
 
+load_totals
+coordinator_daemon::LoadTotals() const
+{
+  return { mCoordinator.Counters(),
+           mFront->ReceivedRequests(),
+           mReports,
+           mFront->OpenConnections(),
+           mCoordinator.OpenJobs(),
+           mCoordinator.WaitingTasks() };
+}
+
 void
 coordinator_daemon::AddDemandMetrics(metrics_page* aPage)
 {
--- a/shell/http_server.cc
+++ b/shell/http_server.cc
@@ -9,7 +9,6 @@
 #include "cactusmast/api_json.h"
 #include "shell/daemon.h"
 #include "shell/peer_transport.h"
-#include "shell/received_bytes.h"
 #include "shell/served_socket.h"
 
 namespace cactusmast {
--- a/shell/http_server.h
+++ b/shell/http_server.h
@@ -67,6 +67,9 @@
   const std::string& Body() const { return mBody; }
   // When the request was complete.
   instant ReceivedAt() const { return mReceivedAt; }
+  // How long its last byte had waited in the kernel by then; zero if that is
+  // not known.
+  duration Waited() const { return mWaited; }
   // The value of a request header; empty when absent.
   std::string Header(const char* aName) const;
   // The value of a query parameter; empty when absent.
@@ -97,6 +100,7 @@
   gulong mWrittenHandler = 0;
   std::shared_ptr<client_connection> mConnection;
   instant mReceivedAt{};
+  duration mWaited{};
   instant mAnsweredAt{}; // zero: not answered
   bool mWritten = false; // the kernel has the whole answer
   // The client disconnected before the answer, so that nobody waits for it.
--- a/shell/http_server_answers.cc
+++ b/shell/http_server_answers.cc
@@ -3,8 +3,8 @@
 
 #include "shell/daemon.h"
 #include "shell/http_server.h"
-#include "shell/received_bytes.h"
 #include "shell/served_socket.h"
+#include "shell/socket_input.h"
 
 namespace cactusmast {
 
@@ -21,8 +21,9 @@
   }
   aExchange->mConnection = found->second;
   aExchange->mConnection->mUsed = true;
-  aExchange->mConnection->mBytesAtLastRequest =
-    ReceivedBytes(g_socket_get_fd(socket));
+  socket_input input = InputOf(g_socket_get_fd(socket));
+  aExchange->mConnection->mBytesAtLastRequest = input.mBytes;
+  aExchange->mWaited = input.mSinceLast;
 }
 
 void
--- a/shell/http_server_idle.cc
+++ b/shell/http_server_idle.cc
@@ -6,8 +6,8 @@
 
 #include "shell/daemon.h"
 #include "shell/http_server.h"
-#include "shell/received_bytes.h"
 #include "shell/served_socket.h"
+#include "shell/socket_input.h"
 
 namespace cactusmast {
 
@@ -25,7 +25,7 @@
 bool
 HasPartOfRequest(GSocket* aSocket, const client_connection& aConnection)
 {
-  return ReceivedBytes(g_socket_get_fd(aSocket)) >
+  return InputOf(g_socket_get_fd(aSocket)).mBytes >
          aConnection.mBytesAtLastRequest;
 }
 
--- a/shell/log_sink.cc
+++ b/shell/log_sink.cc
@@ -125,11 +125,13 @@
          aCode == event_code::AttemptEnded;
 }
 
-// Whether the event tells how a process stops or a request ends without answer.
+// Whether the event tells how a process stops, a request ends without answer,
+// or how much there is to do: what a burst of other lines must not hide.
 bool
-IsAboutStop(event_code aCode)
+IsAboutStopOrLoad(event_code aCode)
 {
   switch (aCode) {
+    case event_code::EntryLoad:
     case event_code::ProcessDraining:
     case event_code::ProcessStopped:
     case event_code::DrainDeadline:
@@ -197,8 +199,8 @@
     return true;
   }
   bool isProgress = IsJobProgress(aRow.mCode);
-  uint32_t limit =
-    kMaxLinesPerSecond + (IsAboutStop(aRow.mCode) ? kStopLinesPerSecond : 0);
+  uint32_t limit = kMaxLinesPerSecond +
+                   (IsAboutStopOrLoad(aRow.mCode) ? kStopLinesPerSecond : 0);
   bool over =
     mLinesInSecond >= limit ||
     (isProgress && mProgressLinesInSecond >= kMaxProgressLinesPerSecond);
--- a/shell/loop_load.cc
+++ b/shell/loop_load.cc
@@ -1,7 +1,9 @@
 #include "shell/loop_load.h"
 
+#include <algorithm>
 #include <cmath>
 #include <glib.h>
+#include <utility>
 
 #include "cactusmast/forwarding_policy.h"
 #include "shell/daemon.h"
@@ -39,9 +41,18 @@
   return load;
 }
 
+duration
+loop_load::TakeLongestTurn()
+{
+  return std::exchange(mLongestTurn, duration{});
+}
+
 void
 loop_load::OnPollBegin(instant aNow)
 {
+  if (mLastChange != instant{}) {
+    mLongestTurn = std::max(mLongestTurn, aNow - mLastChange);
+  }
   Add(&mBusyTime, aNow);
 }
 
--- a/shell/loop_load.h
+++ b/shell/loop_load.h
@@ -35,6 +35,9 @@
 
   double BusyShare() const override { return mMean; }
 
+  // The longest time between two waits since the last call.
+  duration TakeLongestTurn();
+
   // The loop begins and ends to wait.
   void OnPollBegin(instant aNow);
   void OnPollEnd(instant aNow);
@@ -47,6 +50,7 @@
   duration mBusyTime{};
   duration mWaitTime{};
   double mMean = 0;
+  duration mLongestTurn{};
 };
 
 } // namespace cactusmast
--- a/shell/testing/loop_load_test.cc
+++ b/shell/testing/loop_load_test.cc
@@ -51,6 +51,19 @@
   CHECK(load.BusyShare() < 0.05);
 }
 
+TEST_CASE("the longest turn of the loop is told once")
+{
+  // Guards against a log that hides a loop which stood still for a moment.
+  loop_load load;
+  instant now = milliseconds(1000);
+  for (int busyMs : { 3, 40, 5 }) {
+    load.OnPollBegin(now += milliseconds(busyMs));
+    load.OnPollEnd(now += milliseconds(10));
+  }
+  CHECK(load.TakeLongestTurn() == milliseconds(40));
+  CHECK(load.TakeLongestTurn() == duration{});
+}
+
 TEST_CASE("work in a nested context is busy time, waiting in it is not")
 {
   // Guards against an entry that seems busy while its connections are idle, or
