A backlog of requests no longer holds up the loop of an entry

Callers saw: in a data centre whose one entry got more than it could do, nothing was answered in time for seconds, answers were 504, and tasks that ran were stopped.

Cause: each group of callers' connections was dispatched until nothing more was ready. With more requests than the entry could read, one turn of the loop grew to half a second, in which no report was read and no heartbeat sent; executors refused dispatches and stopped tasks of an entry that was alive.

The new test, built on the code before: 150 requests of 3 ms each keep a timer waiting for longer than the 150 ms between heartbeats (failed); it passes now.

Change: groups wait in a queue (context_queue) and are dispatched in turn, for 5 ms in a turn of the loop; a group with more to do goes to the end. Up to 64 groups in place of 16, so that a group stays small when callers open many connections. How long a request waited is taken from the queue as well.

Why it works: reports, heartbeats and ticks come between any two slices, however much waits; the longest turn is 5 ms and one group.

--- a/shell/http_server.cc
+++ b/shell/http_server.cc
@@ -81,7 +81,7 @@
 // Each group costs the main loop one descriptor to poll, and each connection of
 // a group is polled whenever another one of the group is ready.
 constexpr size_t kConnectionsPerGroup = 16;
-constexpr size_t kMaxGroups = 16;
+constexpr size_t kMaxGroups = 64;
 // In one turn of the loop, so that a burst of new connections does not delay
 // other work.
 constexpr int kMaxAccepts = 32;
@@ -328,7 +328,7 @@
 std::shared_ptr<http_server::connection_group>
 http_server::AddGroup()
 {
-  auto context = nested_context::Create();
+  auto context = nested_context::Create(&mQueue);
   if (!context.Ok()) {
     return nullptr;
   }
@@ -414,7 +414,7 @@
   exchange.mMethod = soup_server_message_get_method(aMessage);
   exchange.mPath = aPath;
   exchange.mMessage.reset(SOUP_SERVER_MESSAGE(g_object_ref(aMessage)));
-  NoteReceived(*group, &exchange);
+  self->NoteReceived(*group, &exchange);
   SoupMessageBody* body = soup_server_message_get_request_body(aMessage);
   GBytes* bytes = soup_message_body_flatten(body);
   gsize size = 0;
--- a/shell/http_server.h
+++ b/shell/http_server.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "shell/connection_observer.h"
+#include "shell/context_queue.h"
 #include "shell/nested_context.h"
 #include "util/gobject_ptr.h"
 #include "util/result.h"
@@ -67,8 +68,7 @@
   const std::string& Body() const { return mBody; }
   // When the request was complete.
   instant ReceivedAt() const { return mReceivedAt; }
-  // How long its last byte had waited in the kernel by then; zero if that is
-  // not known.
+  // How long its last byte had waited by then, as far as that is known.
   duration Waited() const { return mWaited; }
   // The value of a request header; empty when absent.
   std::string Header(const char* aName) const;
@@ -216,8 +216,8 @@
   // Called when an exchange ended after its answer.
   void EndAnswered(SoupServerMessage* aMessage);
   // Notes that an exchange was received over its connection.
-  static void NoteReceived(const connection_group& aGroup,
-                           http_exchange* aExchange);
+  void NoteReceived(const connection_group& aGroup,
+                    http_exchange* aExchange) const;
   // Keeps an answered exchange until its answer is written.
   void AwaitWritten(std::unique_ptr<http_exchange> aExchange);
   void ReportNotSent(const http_exchange& aExchange, unsent_cause aCause);
@@ -246,6 +246,7 @@
   // Ends the exchanges whose clients have disconnected.
   void CheckDisconnects();
 
+  context_queue mQueue; // of the groups' contexts
   gobject_ptr<GSocket> mListener;
   GSource* mAcceptSource = nullptr;
   std::vector<std::shared_ptr<connection_group>> mGroups;
--- a/shell/http_server_answers.cc
+++ b/shell/http_server_answers.cc
@@ -1,6 +1,8 @@
 // What an http_server knows of requests and answers in flight: which answers
 // are not written yet, and which were never sent.
 
+#include <algorithm>
+
 #include "shell/daemon.h"
 #include "shell/http_server.h"
 #include "shell/served_socket.h"
@@ -10,9 +12,10 @@
 
 void
 http_server::NoteReceived(const connection_group& aGroup,
-                          http_exchange* aExchange)
+                          http_exchange* aExchange) const
 {
   aExchange->mReceivedAt = Now();
+  aExchange->mWaited = mQueue.CurrentWait();
   GSocket* socket = detail::SocketOf(aExchange->mMessage.get());
   auto found = aGroup.mOpenSockets.find(socket);
   if (found == aGroup.mOpenSockets.end()) {
@@ -23,7 +26,7 @@
   aExchange->mConnection->mUsed = true;
   socket_input input = InputOf(g_socket_get_fd(socket));
   aExchange->mConnection->mBytesAtLastRequest = input.mBytes;
-  aExchange->mWaited = input.mSinceLast;
+  aExchange->mWaited = std::max(aExchange->mWaited, input.mSinceLast);
 }
 
 void
--- a/shell/nested_context.cc
+++ b/shell/nested_context.cc
@@ -2,10 +2,16 @@
 
 #include <sys/epoll.h>
 #include <unistd.h>
+#include <utility>
+
+#include "shell/context_queue.h"
 
 namespace cactusmast {
 namespace {
 
+// Descriptors that are dispatched in one round.
+constexpr int kMaxReadyInRound = 64;
+
 // The source in the main context, with a pointer to its nested context.
 struct nested_source
 {
@@ -37,8 +43,12 @@
 
 } // namespace
 
-nested_context::nested_context(int aEpoll)
+nested_context::nested_context(int aEpoll,
+                               context_queue* aQueue,
+                               input_filter aFilter)
   : mEpoll(aEpoll)
+  , mQueue(aQueue)
+  , mFilter(std::move(aFilter))
   , mContext(g_main_context_new())
 {
   static GSourceFuncs functions = { nullptr, nullptr, &nested_context::OnReady,
@@ -53,18 +63,22 @@
 }
 
 result<std::unique_ptr<nested_context>>
-nested_context::Create()
+nested_context::Create(context_queue* aQueue, input_filter aFilter)
 {
   int epoll = epoll_create1(EPOLL_CLOEXEC);
   if (epoll < 0) {
     return failure(
       error_code::Unavailable, "open", "this process", "no descriptor is left");
   }
-  return std::unique_ptr<nested_context>(new nested_context(epoll));
+  return std::unique_ptr<nested_context>(
+    new nested_context(epoll, aQueue, std::move(aFilter)));
 }
 
 nested_context::~nested_context()
 {
+  if (mQueue != nullptr) {
+    mQueue->Remove(*this);
+  }
   g_source_destroy(mSource);
   g_source_unref(mSource);
   g_main_context_unref(mContext);
@@ -109,7 +123,12 @@
                         gpointer /*aData*/)
 {
   g_source_set_ready_time(aSource, -1);
-  reinterpret_cast<nested_source*>(aSource)->mOwner->DispatchReady();
+  nested_context& self = *reinterpret_cast<nested_source*>(aSource)->mOwner;
+  if (self.mQueue != nullptr) {
+    self.mQueue->Add(self);
+  } else {
+    self.DispatchReady();
+  }
   return G_SOURCE_CONTINUE;
 }
 
@@ -132,9 +151,16 @@
 bool
 nested_context::PollReady()
 {
-  constexpr int kMaxReady = 64;
-  epoll_event ready[kMaxReady];
-  int count = epoll_wait(mEpoll, ready, kMaxReady, 0);
+  epoll_event ready[kMaxReadyInRound];
+  int count = epoll_wait(mEpoll, ready, kMaxReadyInRound, 0);
+  auto isInput = [](const epoll_event& aEvent) {
+    return (aEvent.events & (EPOLLIN | EPOLLERR | EPOLLHUP)) == EPOLLIN;
+  };
+  for (int i = 0; i < count; i++) {
+    if (mFilter && isInput(ready[i]) && mFilter(ready[i].data.fd)) {
+      ready[i].events = 0;
+    }
+  }
   bool anyReady = false;
   for (GPollFD& pollFd : mPollFds) {
     pollFd.revents = 0;
@@ -179,30 +205,36 @@
 
 void
 nested_context::DispatchReady()
+{
+  while (DispatchRound()) {
+  }
+}
+
+bool
+nested_context::DispatchRound()
 {
   if (!g_main_context_acquire(mContext)) {
-    return;
+    return false;
   }
   g_main_context_push_thread_default(mContext);
-  for (;;) {
-    int priority = 0;
-    int timeoutMs = Prepare(&priority);
-    bool ready = PollReady();
-    if (!ready && timeoutMs != 0) {
-      UpdateEpollSet();
-      if (timeoutMs > 0) {
-        constexpr gint64 kUsInMs = 1000;
-        g_source_set_ready_time(mSource,
-                                g_get_monotonic_time() + timeoutMs * kUsInMs);
-      }
-      break;
-    }
+  int priority = 0;
+  int timeoutMs = Prepare(&priority);
+  bool dispatches = PollReady() || timeoutMs == 0;
+  if (dispatches) {
     g_main_context_check(
       mContext, priority, mPollFds.data(), int(mPollFds.size()));
     g_main_context_dispatch(mContext);
+  } else {
+    UpdateEpollSet();
+    if (timeoutMs > 0) {
+      constexpr gint64 kUsInMs = 1000;
+      g_source_set_ready_time(mSource,
+                              g_get_monotonic_time() + timeoutMs * kUsInMs);
+    }
   }
   g_main_context_pop_thread_default(mContext);
   g_main_context_release(mContext);
+  return dispatches;
 }
 
 } // namespace cactusmast
--- a/shell/nested_context.h
+++ b/shell/nested_context.h
@@ -29,11 +29,22 @@
 
 namespace cactusmast {
 
+class context_queue;
+
 class nested_context
 {
 public:
-  // Errors: Unavailable, when the process has no free descriptor.
-  static result<std::unique_ptr<nested_context>> Create();
+  // Called for a descriptor that has input, before its sources are dispatched.
+  // Returns true if it has read the input, so that they need not be.
+  using input_filter = std::function<bool(int aFd)>;
+
+  // aQueue: dispatches the context in turn with others; must outlive it. Null:
+  // the context is dispatched in each turn of the main loop, until it has
+  // nothing more to do. Errors: Unavailable, when the process has no free
+  // descriptor.
+  static result<std::unique_ptr<nested_context>> Create(
+    context_queue* aQueue = nullptr,
+    input_filter aFilter = {});
   ~nested_context();
 
   // Calls aFunction with this context as the thread's default, then Wake.
@@ -44,9 +55,11 @@
   // earlier descriptor of this context may have had. Closing the earlier one
   // removed it from the epoll set without notifying this object.
   void RemoveDescriptor(int aFd);
+  // Dispatches the sources that are ready. False if none was.
+  bool DispatchRound();
 
 private:
-  nested_context(int aEpoll);
+  nested_context(int aEpoll, context_queue* aQueue, input_filter aFilter);
   static gboolean OnReady(GSource* aSource,
                           GSourceFunc aCallback,
                           gpointer aData);
@@ -61,6 +74,8 @@
   void UpdateEpollSet();
 
   int mEpoll;
+  context_queue* mQueue; // null: none
+  input_filter mFilter;  // empty: none
   GMainContext* mContext;
   GSource* mSource; // in the main context; polls mEpoll
   std::vector<GPollFD> mPollFds;
--- a/shell/testing/http_server_test.cc
+++ b/shell/testing/http_server_test.cc
@@ -1,5 +1,6 @@
 // HTTP server: clients that disconnect, and many open connections.
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <doctest/doctest.h>
 #include <functional>
@@ -10,6 +11,7 @@
 #include <unistd.h>
 #include <vector>
 
+#include "cactusmast/time_spans.h"
 #include "shell/daemon.h"
 #include "shell/testing/loopback.h"
 
@@ -246,6 +248,51 @@
   }
 }
 
+TEST_CASE("a backlog of requests does not hold up the rest of the loop")
+{
+  // Guards against heartbeats that are sent late, so that executors stop the
+  // tasks of an entry that has many callers.
+  constexpr int kClients = 150;
+  constexpr gulong kHandlingUs = 3000;
+  constexpr duration kHeartbeatInterval = std::chrono::milliseconds(150);
+  int answered = 0;
+  loopback_server server;
+  server = ServeOnLoopback([&](http_exchange& aExchange) {
+    g_usleep(kHandlingUs);
+    server.mServer->Answer(aExchange.Id(), {});
+    answered++;
+  });
+  std::vector<int> clients;
+  for (int i = 0; i < kClients; i++) {
+    clients.push_back(SendRequest(server.mPort));
+  }
+  RunLoopUntil([&] { return answered == kClients; });
+
+  for (int client : clients) {
+    Send(client, kRequest);
+  }
+  struct
+  {
+    instant mLast;
+    duration mLongest{};
+  } timer{ Now() };
+  guint source = g_timeout_add(
+    5,
+    [](gpointer aTimer) -> gboolean {
+      auto* self = static_cast<decltype(timer)*>(aTimer);
+      self->mLongest = std::max(self->mLongest, Now() - self->mLast);
+      self->mLast = Now();
+      return G_SOURCE_CONTINUE;
+    },
+    &timer);
+  RunLoopUntil([&] { return answered == 2 * kClients; });
+  g_source_remove(source);
+  CHECK(ToMs(timer.mLongest) < ToMs(kHeartbeatInterval));
+  for (int client : clients) {
+    close(client);
+  }
+}
+
 TEST_CASE("a drain closes idle connections but none with a request in progress")
 {
   // Guards against two failures: a caller that reuses a kept connection to a
