An entry that cannot keep up refuses jobs early and unread

Cause: an entry accepted all that it read. What it could not do in time it decoded, admitted, placed, retried and refused or let expire, and callers opened connections for what waited, so that the answers in time fell from 396 to 0 a second while requests rose from 454 to 500.

Refusals are written before libsoup reads the request (http_server_unread), if it is whole, alone, and its connection has no exchange open. Another submission of an open job is never refused. The mechanism can be switched off by name.

Why it works: a refusal is cheap, so the wait settles at the bound and the processor's time goes to jobs that are in time.

--- a/cactusmast/forwarded_jobs.h
+++ b/cactusmast/forwarded_jobs.h
@@ -107,6 +107,8 @@
   std::optional<forward_key> Cancel(uint64_t aJob);
   // Ends all jobs.
   std::vector<std::pair<forward_key, sent_job>> TakeAll();
+  // Whether the job was sent and is not answered.
+  bool Has(uint64_t aJob) const { return mKeys.count(aJob) > 0; }
   size_t Size() const { return mJobs.size(); }
 
 private:
--- a/cactusmast/mechanisms.cc
+++ b/cactusmast/mechanisms.cc
@@ -7,11 +7,11 @@
 namespace {
 
 constexpr std::array<std::string_view, size_t(mechanism::Count)> kMechanisms = {
-  "hold_at_start",   "wait_forecasts",  "timely_first",  "late_refused",
-  "slow_task_moves", "scarcity_price",  "stuck_limit",   "executor_subset",
-  "shared_demand",   "route_shares",    "late_deferral", "job_forwarding",
-  "server_recall",   "early_return",    "learned_speed", "outlier_speeds",
-  "illness_noticed", "stall_detection", "report_spacing"
+  "hold_at_start",     "wait_forecasts",  "timely_first",    "late_refused",
+  "slow_task_moves",   "scarcity_price",  "stuck_limit",     "executor_subset",
+  "shared_demand",     "route_shares",    "late_deferral",   "job_forwarding",
+  "admission_control", "server_recall",   "early_return",    "learned_speed",
+  "outlier_speeds",    "illness_noticed", "stall_detection", "report_spacing"
 };
 
 } // namespace
--- a/cactusmast/mechanisms.h
+++ b/cactusmast/mechanisms.h
@@ -32,6 +32,7 @@
   RouteShares,    // scarce capacity is shared between routes by priority
   LateDeferral,   // jobs that can only be late may wait for spare capacity
   JobForwarding,  // an overloaded entry hands new jobs to other entries
+  AdmissionControl, // an entry refuses jobs whose requests wait too long
 
   // At executors.
   ServerRecall,   // a restarted executor restores its backend server from the
--- a/shell/coordinator_daemon.cc
+++ b/shell/coordinator_daemon.cc
@@ -99,6 +99,7 @@
                        })
                        .Value());
   mFront->Observe(&mConnectionLog);
+  mFront->ScreenRequests(this);
   mReadiness = std::move(http_server::Create(
                            mSettings.mReadiness,
                            kMaxRequestBytes,
@@ -444,7 +445,7 @@
   });
   SendHeartbeats(now);
   RequestConfig(now);
-  mLoadLog.Tick(LoadTotals(), now);
+  mLoadLog.Tick(MakeLoadTotals(), now);
   mTransport->Flush();
   mTransport->Sweep();
 }
@@ -521,6 +522,10 @@
   aPage->Counter("cactusmast_jobs_refused",
                  "Jobs refused without being run.",
                  double(counts.mRefused));
+  aPage->Counter("cactusmast_jobs_not_admitted",
+                 "Jobs refused because their requests waited too long to be "
+                 "read.",
+                 double(mAdmission.Refused()));
   aPage->Counter("cactusmast_jobs_expired",
                  "Jobs that ran out of time after a task may have started.",
                  double(counts.mExpired));
--- a/shell/coordinator_daemon.h
+++ b/shell/coordinator_daemon.h
@@ -11,6 +11,7 @@
 #include <set>
 #include <string>
 
+#include "cactusmast/admission_control.h"
 #include "cactusmast/caller_codec.h"
 #include "cactusmast/config_exchange.h"
 #include "cactusmast/forwarded_jobs.h"
@@ -56,6 +57,7 @@
   , public coordinator_links
   , public job_answers
   , public random_source
+  , public request_screen
 {
 public:
   // Errors: an address that cannot be listened on.
@@ -74,6 +76,8 @@
   void Close(peer_id aExecutor) override;
   void Answer(caller_id aCaller, const job_outcome& aOutcome) override;
   double NextUniform() override;
+  bool IsActive(duration aWaited) const override;
+  std::optional<http_answer> Screen(const unread_request& aRequest) override;
 
 protected:
   void OnTick() override;
@@ -150,6 +154,12 @@
                     const std::shared_ptr<const route_table>& aTable,
                     const route& aRoute,
                     uint64_t aJob);
+  // Whether aJob is accepted. Another submission of an open job always is,
+  // since a refusal would say that the job does not run.
+  bool Admits(const http_exchange& aExchange, uint64_t aJob);
+  // Whether it is open here or forwarded.
+  bool IsOpen(uint64_t aJob) const;
+  failure OverloadRefusal() const;
   // Errors: the refusal that is sent to the caller.
   result<job_submission> ReadSubmission(const http_exchange& aExchange,
                                         const route_table& aTable,
@@ -166,6 +176,7 @@
                   duration aElapsed);
   void Reply(uint64_t aExchange, int aStatus, const std::string& aBody);
   void Refuse(uint64_t aExchange, const failure& aError);
+  void LogRefusal(const failure& aError, const std::string& aPath);
   // A failure of this process that says that nothing was run.
   failure MakeRefusal(error_code aCode,
                       const std::string& aStep,
@@ -226,7 +237,7 @@
   std::optional<wire::entry_load_msg> NextLoad(instant aNow);
   void OnEntryLoad(const entry_peer& aSender,
                    const wire::entry_load_msg& aLoad);
-  load_totals LoadTotals() const;
+  load_totals MakeLoadTotals() const;
   void AddDemandMetrics(metrics_page* aPage);
   void OnConfigRequest(peer_id aPeer,
                        const entry_peer& aState,
@@ -287,6 +298,7 @@
   coordinator_settings mSettings;
   coordinator_adapter mAdapter;
   job_coordinator mCoordinator;
+  admission_control mAdmission;
   config_holder mConfig;
   instant mConfigInstalledAt{}; // when the configuration in force was installed
   startup_queue mHeldRequests; // requests that wait for the first configuration
--- a/shell/coordinator_load.cc
+++ b/shell/coordinator_load.cc
@@ -64,13 +64,11 @@
 }
 
 load_totals
-coordinator_daemon::LoadTotals() const
+coordinator_daemon::MakeLoadTotals() const
 {
-  return { mCoordinator.Counters(),
-           mFront->ReceivedRequests(),
-           mReports,
-           mFront->OpenConnections(),
-           mCoordinator.OpenJobs(),
+  return { mCoordinator.Counters(),    mFront->ReceivedRequests(),
+           mAdmission.Refused(),       mReports,
+           mFront->OpenConnections(),  mCoordinator.OpenJobs(),
            mCoordinator.WaitingTasks() };
 }
 
--- a/shell/coordinator_requests.cc
+++ b/shell/coordinator_requests.cc
@@ -55,16 +55,21 @@
 coordinator_daemon::Refuse(uint64_t aExchange, const failure& aError)
 {
   const http_exchange* exchange = mFront->Find(aExchange);
-  mLog.Emit(
-    event_code::JobRefused,
-    { { "reason", aError.what() },
-      { "code", std::string(Name(aError.Code())) },
-      { "path", exchange == nullptr ? "" : LoggedPath(exchange->Path()) } });
+  LogRefusal(aError, exchange == nullptr ? "" : exchange->Path());
   http_answer answer = ErrorAnswer(aError);
   answer.mCloseConnection = IsDraining();
   mFront->Answer(aExchange, answer);
 }
 
+void
+coordinator_daemon::LogRefusal(const failure& aError, const std::string& aPath)
+{
+  mLog.Emit(event_code::JobRefused,
+            { { "reason", aError.what() },
+              { "code", std::string(Name(aError.Code())) },
+              { "path", LoggedPath(aPath) } });
+}
+
 void
 coordinator_daemon::HoldRequest(http_exchange& aExchange)
 {
@@ -235,6 +240,15 @@
                      kOtherEntryRetryAfter);
 }
 
+failure
+coordinator_daemon::OverloadRefusal() const
+{
+  return MakeRefusal(error_code::Overloaded,
+                     "submit",
+                     "this entry is overloaded",
+                     kOtherEntryRetryAfter);
+}
+
 result<job_submission>
 coordinator_daemon::ReadSubmission(const http_exchange& aExchange,
                                    const route_table& aTable,
@@ -285,11 +299,55 @@
     Reply(aExchange.Id(), SOUP_STATUS_SERVICE_UNAVAILABLE, "{}");
     return;
   }
+  if (!Admits(aExchange, aJob)) {
+    Refuse(aExchange.Id(), OverloadRefusal());
+    return;
+  }
   if (!Forward(aExchange, *aTable, aRoute, aJob)) {
     SubmitHere(aExchange, aTable, aRoute, aJob, duration{});
   }
 }
 
+bool
+coordinator_daemon::IsOpen(uint64_t aJob) const
+{
+  return mCoordinator.IsOpen(aJob) || mSentJobs.Has(aJob);
+}
+
+bool
+coordinator_daemon::Admits(const http_exchange& aExchange, uint64_t aJob)
+{
+  return !mInstance.mMechanisms.Has(mechanism::AdmissionControl) ||
+         IsOpen(aJob) || mAdmission.Admits(aExchange.Waited(), Now());
+}
+
+bool
+coordinator_daemon::IsActive(duration aWaited) const
+{
+  return mAdmission.IsOverloaded(aWaited) && !IsDraining() &&
+         mConfig.Table() != nullptr &&
+         mInstance.mMechanisms.Has(mechanism::AdmissionControl);
+}
+
+// What is not certainly a submission that is refused is left to OnRequest.
+std::optional<http_answer>
+coordinator_daemon::Screen(const unread_request& aRequest)
+{
+  size_t nameAt = aRequest.mPath.rfind('/') + 1;
+  uint64_t job = 0;
+  bool isSubmission = aRequest.mMethod == "POST" &&
+                      ParseJobId(aRequest.mPath.substr(nameAt), &job);
+  instant now = Now();
+  if (!isSubmission || IsOpen(job) || mAdmission.IsAdmissionDue(now) ||
+      mAdmission.Admits(aRequest.mWaited, now)) {
+    return std::nullopt;
+  }
+  mLoadLog.OnRequest(aRequest.mWaited);
+  failure refusal = OverloadRefusal();
+  LogRefusal(refusal, aRequest.mPath);
+  return ErrorAnswer(refusal);
+}
+
 void
 coordinator_daemon::SubmitHere(const http_exchange& aExchange,
                                const std::shared_ptr<const route_table>& aTable,
--- a/shell/http_server.cc
+++ b/shell/http_server.cc
@@ -328,11 +328,14 @@
 std::shared_ptr<http_server::connection_group>
 http_server::AddGroup()
 {
-  auto context = nested_context::Create(&mQueue);
+  auto group = std::make_shared<connection_group>();
+  auto context =
+    nested_context::Create(&mQueue, [this, group = group.get()](int aFd) {
+      return RefuseUnread(*group, aFd);
+    });
   if (!context.Ok()) {
     return nullptr;
   }
-  auto group = std::make_shared<connection_group>();
   group->mContext = std::move(context.Value());
   group->mServer.reset(soup_server_new("server-header", "cactusmast", nullptr));
   if (!ListenWithoutAccepting(group->mServer.get(), mListener.get())) {
--- a/shell/http_server.h
+++ b/shell/http_server.h
@@ -19,6 +19,7 @@
 #include "shell/connection_observer.h"
 #include "shell/context_queue.h"
 #include "shell/nested_context.h"
+#include "shell/request_screen.h"
 #include "util/gobject_ptr.h"
 #include "util/result.h"
 
@@ -53,6 +54,8 @@
   uint64_t mBytesAtLastRequest = 0;
   size_t mUnsentAnswers = 0;  // answers that are not written yet
   bool mClosedAsIdle = false; // by CloseIdle
+  // Libsoup may have begun to read a request, and has not ended its exchange.
+  bool mInExchange = false;
   // The client had closed it when CloseAbandoned last looked.
   bool mClientClosed = false;
 };
@@ -134,6 +137,9 @@
   // Ignored when the exchange was answered or its client disconnected.
   void Answer(uint64_t aExchange, const http_answer& aAnswer);
 
+  // Requests from now on are shown to aScreen before they are read; it must
+  // outlive the server.
+  void ScreenRequests(request_screen* aScreen) { mScreen = aScreen; }
   // Reports from now on go to aObserver, which must outlive the server.
   void Observe(connection_observer* aObserver) { mObserver = aObserver; }
   // Reports the requests that get no answer because the process exits, at most
@@ -218,6 +224,10 @@
   // Notes that an exchange was received over its connection.
   void NoteReceived(const connection_group& aGroup,
                     http_exchange* aExchange) const;
+  // Answers the request that has arrived at a descriptor, if it is not to be
+  // read. False if libsoup has to read it.
+  bool RefuseUnread(connection_group& aGroup, int aFd);
+  bool RefuseFirst(int aFd, client_connection& aConnection);
   // Keeps an answered exchange until its answer is written.
   void AwaitWritten(std::unique_ptr<http_exchange> aExchange);
   void ReportNotSent(const http_exchange& aExchange, unsent_cause aCause);
@@ -258,6 +268,7 @@
   // Answered exchanges whose answer is not written yet.
   std::map<SoupServerMessage*, std::unique_ptr<http_exchange>> mUnsentAnswers;
   connection_observer* mObserver = nullptr; // null: nobody is told
+  request_screen* mScreen = nullptr;        // null: all requests are read
   connection_counters mCounters;
   uint64_t mNextId = 1;
   uint64_t mRequestCount = 0;
--- a/shell/http_server_answers.cc
+++ b/shell/http_server_answers.cc
@@ -24,6 +24,7 @@
   }
   aExchange->mConnection = found->second;
   aExchange->mConnection->mUsed = true;
+  aExchange->mConnection->mInExchange = true;
   socket_input input = InputOf(g_socket_get_fd(socket));
   aExchange->mConnection->mBytesAtLastRequest = input.mBytes;
   aExchange->mWaited = std::max(aExchange->mWaited, input.mSinceLast);
@@ -50,6 +51,7 @@
   std::unique_ptr<http_exchange> ended = std::move(found->second);
   mUnsentAnswers.erase(found);
   ended->mConnection->mUnsentAnswers--;
+  ended->mConnection->mInExchange = false;
   if (!ended->mWritten && !ended->mAbandoned) {
     ReportNotSent(*ended,
                   ended->mConnection->mClosedAsIdle
--- a/shell/http_server_idle.cc
+++ b/shell/http_server_idle.cc
@@ -6,6 +6,7 @@
 
 #include "shell/daemon.h"
 #include "shell/http_server.h"
+#include "shell/rendered_answer.h"
 #include "shell/served_socket.h"
 #include "shell/socket_input.h"
 
@@ -29,23 +30,6 @@
          aConnection.mBytesAtLastRequest;
 }
 
-// aAnswer as bytes, for a connection that is closed after it.
-std::string
-RenderLastAnswer(const http_answer& aAnswer)
-{
-  auto status = guint(aAnswer.mStatus);
-  std::string text =
-    "HTTP/1.1 " + std::to_string(status) + " " +
-    soup_status_get_phrase(status) +
-    "\r\nConnection: close\r\nContent-Type: " + aAnswer.mContentType +
-    "\r\nContent-Length: " + std::to_string(aAnswer.mBody.size()) + "\r\n";
-  if (aAnswer.mRetryAfterMs > 0) {
-    text +=
-      "Retry-After: " + std::to_string(aAnswer.RetryAfterSeconds()) + "\r\n";
-  }
-  return text + "\r\n" + aAnswer.mBody;
-}
-
 } // namespace
 
 std::set<GSocket*>
@@ -72,7 +56,9 @@
 http_server::CloseIdle(duration aMinIdle, const http_answer& aRefusal)
 {
   const std::set<GSocket*> busy = BusySockets();
-  const std::string refusal = RenderLastAnswer(aRefusal);
+  http_answer lastAnswer = aRefusal;
+  lastAnswer.mCloseConnection = true;
+  const std::string refusal = RenderAnswer(lastAnswer);
   instant now = Now();
   idle_sweep sweep;
   for (const auto& group : mGroups) {
--- a/shell/load_log.cc
+++ b/shell/load_log.cc
@@ -39,6 +39,7 @@
   }
   mLastJobs = aTotals.mJobs;
   mLastRequests = aTotals.mRequests;
+  mLastNotAdmitted = aTotals.mNotAdmitted;
   mLastReports = aTotals.mReports;
   mWaitedSum = {};
   mWaitedMost = {};
@@ -54,6 +55,7 @@
   mEvents.Emit(
     event_code::EntryLoad,
     { Count("requests", requests),
+      Count("not_admitted", aTotals.mNotAdmitted - mLastNotAdmitted),
       Count("accepted", jobs.mAccepted - mLastJobs.mAccepted),
       Count("in_objective", jobs.mInObjective - mLastJobs.mInObjective),
       Count("late", jobs.mLate - mLastJobs.mLate),
--- a/shell/load_log.h
+++ b/shell/load_log.h
@@ -19,8 +19,9 @@
 struct load_totals
 {
   const coordinator_counters& mJobs;
-  uint64_t mRequests = 0; // read from callers
-  uint64_t mReports = 0;  // read from executors
+  uint64_t mRequests = 0;    // read from callers
+  uint64_t mNotAdmitted = 0; // jobs that admission_control refused
+  uint64_t mReports = 0;     // read from executors
   size_t mConnections = 0;
   size_t mOpenJobs = 0;
   size_t mWaitingTasks = 0;
@@ -48,6 +49,7 @@
   // As of the latest line.
   coordinator_counters mLastJobs;
   uint64_t mLastRequests = 0;
+  uint64_t mLastNotAdmitted = 0;
   uint64_t mLastReports = 0;
   // Since the latest line.
   duration mWaitedSum{};
--- a/shell/testing/http_server_test.cc
+++ b/shell/testing/http_server_test.cc
@@ -62,6 +62,21 @@
   std::vector<idle_sweep> mSweeps;
 };
 
+// Refuses every request that it is shown while it is active.
+class fake_screen : public request_screen
+{
+public:
+  bool IsActive(duration /*aWaited*/) const override { return mActive; }
+  std::optional<http_answer> Screen(const unread_request& aRequest) override
+  {
+    mShown.push_back(aRequest.mMethod + " " + aRequest.mPath);
+    return http_answer{ 429, "{}", "application/json", 1000, false };
+  }
+
+  bool mActive = false;
+  std::vector<std::string> mShown;
+};
+
 // Closes a connection in a way that makes the other side's writes fail.
 void
 Reset(int aFd)
@@ -141,6 +156,37 @@
   RunLoopUntil([&] { return aServer.OpenConnections() == 0; }, kMaxMs);
 }
 
+// A server with a fake_screen, and a client that has got one answer from it.
+struct screened_client
+{
+  screened_client()
+  {
+    mServer = ServeOnLoopback([this](http_exchange& aExchange) {
+      mHandled++;
+      mServer.mServer->Answer(aExchange.Id(), {});
+    });
+    mServer.mServer->ScreenRequests(&mScreen);
+    mClient = SendRequest(mServer.mPort);
+    RunLoopUntil([this] { return Got("HTTP/1.1 200") == 1; });
+    RunUntilWritten(*mServer.mServer);
+    mScreen.mActive = true;
+  }
+  ~screened_client() { close(mClient); }
+
+  // How often aWord is in all that the client has received.
+  size_t Got(std::string_view aWord)
+  {
+    Receive(mClient, &mReceived);
+    return Occurrences(mReceived, aWord);
+  }
+
+  fake_screen mScreen;
+  loopback_server mServer;
+  int mClient = -1;
+  int mHandled = 0;
+  std::string mReceived;
+};
+
 // The number of descriptors that the main loop polls in each turn.
 int
 PolledDescriptors()
@@ -293,6 +339,44 @@
   }
 }
 
+TEST_CASE("a request that is refused unread gets a whole answer")
+{
+  // Guards against callers of an overloaded entry who get no answer, or the
+  // answer to another request.
+  screened_client client;
+  Send(client.mClient, kRequest);
+  RunLoopUntil([&] { return client.Got("\r\n\r\n{}") == 1; });
+  CHECK(client.Got("HTTP/1.1 429") == 1);
+  CHECK(client.Got("\r\nRetry-After: 1\r\n") == 1);
+  CHECK(client.mScreen.mShown == std::vector<std::string>{ "POST /job" });
+  CHECK(client.mHandled == 1);
+  client.mScreen.mActive = false;
+  Send(client.mClient, kRequest);
+  RunLoopUntil([&] { return client.Got("HTTP/1.1 200") == 2; });
+  CHECK(client.mHandled == 2);
+}
+
+TEST_CASE("a request that comes in parts or with another one is not refused "
+          "unread")
+{
+  // Guards against answers to a part of a request, and answers out of order.
+  screened_client client;
+  std::string request = kRequest;
+  for (size_t split : { size_t(10), request.size() - 2 }) {
+    size_t before = client.Got("HTTP/1.1 200");
+    Send(client.mClient, request.substr(0, split));
+    RunLoopFor(kReadMs);
+    Send(client.mClient, request.substr(split));
+    RunLoopUntil([&] { return client.Got("HTTP/1.1 200") == before + 1; });
+    RunUntilWritten(*client.mServer.mServer);
+  }
+  size_t before = client.Got("HTTP/1.1 200");
+  Send(client.mClient, request + request);
+  RunLoopUntil([&] { return client.Got("HTTP/1.1 200") >= before + 1; });
+  RunLoopUntil([&] { return client.Got("HTTP/1.1") == before + 2; });
+  CHECK(client.mHandled >= int(before) + 1);
+}
+
 TEST_CASE("a drain closes idle connections but none with a request in progress")
 {
   // Guards against two failures: a caller that reuses a kept connection to a
