--- a/shell/context_queue.cc
+++ b/shell/context_queue.cc
@@ -1,6 +1,7 @@
 #include "shell/context_queue.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "shell/daemon.h"
 #include "shell/nested_context.h"
@@ -19,8 +20,12 @@
 
 context_queue::context_queue()
 {
-  static GSourceFuncs functions = { nullptr, nullptr, &context_queue::OnTurn,
-                                    nullptr, nullptr, nullptr };
+  static GSourceFuncs functions = { &context_queue::OnPrepare,
+                                    &context_queue::OnCheck,
+                                    &context_queue::OnTurn,
+                                    nullptr,
+                                    nullptr,
+                                    nullptr };
   mSource = g_source_new(&functions, sizeof(queue_source));
   reinterpret_cast<queue_source*>(mSource)->mOwner = this;
   g_source_attach(mSource, nullptr);
@@ -44,11 +49,9 @@
 void
 context_queue::Add(nested_context& aContext)
 {
-  if (Has(aContext)) {
-    return;
+  if (!Has(aContext)) {
+    mWaiting.push_back({ &aContext, Now() });
   }
-  mWaiting.push_back({ &aContext, Now() });
-  g_source_set_ready_time(mSource, 0);
 }
 
 void
@@ -62,32 +65,55 @@
                  mWaiting.end());
 }
 
-gboolean
-context_queue::OnTurn(GSource* aSource,
-                      GSourceFunc /*aCallback*/,
-                      gpointer /*aData*/)
+void
+context_queue::Run(nested_context& aContext)
 {
-  reinterpret_cast<queue_source*>(aSource)->mOwner->RunTurn();
-  return G_SOURCE_CONTINUE;
+  Add(aContext);
+  RunWaiting();
 }
 
 void
-context_queue::RunTurn()
+context_queue::RunWaiting()
 {
-  instant begin = Now();
-  instant now = begin;
-  while (!mWaiting.empty() && now - begin < kMaxTurn) {
+  instant now = Now();
+  while (!mWaiting.empty() && mUsed < kMaxTurn) {
     queued_context next = mWaiting.front();
     mWaiting.pop_front();
     mCurrentWait = now - next.mSince;
     bool hasMore = next.mContext->DispatchRound();
-    now = Now();
+    instant begin = std::exchange(now, Now());
+    mUsed += now - begin;
     if (hasMore && !Has(*next.mContext)) {
       mWaiting.push_back({ next.mContext, now });
     }
   }
   mCurrentWait = {};
-  g_source_set_ready_time(mSource, mWaiting.empty() ? -1 : 0);
+}
+
+// Called in each turn of the main loop, before its sources are dispatched.
+gboolean
+context_queue::OnPrepare(GSource* aSource, gint* aTimeoutMs)
+{
+  *aTimeoutMs = -1;
+  reinterpret_cast<queue_source*>(aSource)->mOwner->mUsed = {};
+  return OnCheck(aSource);
+}
+
+gboolean
+context_queue::OnCheck(GSource* aSource)
+{
+  bool anyWaits =
+    !reinterpret_cast<queue_source*>(aSource)->mOwner->mWaiting.empty();
+  return anyWaits ? TRUE : FALSE;
+}
+
+gboolean
+context_queue::OnTurn(GSource* aSource,
+                      GSourceFunc /*aCallback*/,
+                      gpointer /*aData*/)
+{
+  reinterpret_cast<queue_source*>(aSource)->mOwner->RunWaiting();
+  return G_SOURCE_CONTINUE;
 }
 
 } // namespace cactusmast
--- a/shell/nested_context.cc
+++ b/shell/nested_context.cc
@@ -125,7 +125,7 @@
   g_source_set_ready_time(aSource, -1);
   nested_context& self = *reinterpret_cast<nested_source*>(aSource)->mOwner;
   if (self.mQueue != nullptr) {
-    self.mQueue->Add(self);
+    self.mQueue->Run(self);
   } else {
     self.DispatchReady();
   }
