--- a/cactusmast/sized_task.cc
+++ b/cactusmast/sized_task.cc
@@ -41,6 +41,13 @@
   return text;
 }
 
+std::string
+FormatTask(const task_key& aTask)
+{
+  return FormatJobId(aTask.mJob) + "." + std::to_string(aTask.mStep) + "." +
+         std::to_string(aTask.mIndex);
+}
+
 bool
 ParseJobId(std::string_view aText, uint64_t* aOut)
 {
--- a/cactusmast/sized_task.h
+++ b/cactusmast/sized_task.h
@@ -70,6 +70,10 @@
 std::string
 FormatJobId(uint64_t aJob);
 
+// The task as JOB.STEP.INDEX, for logs.
+std::string
+FormatTask(const task_key& aTask);
+
 // False unless aText is exactly 16 hexadecimal digits.
 bool
 ParseJobId(std::string_view aText, uint64_t* aOut);
--- a/cactusmast/task_executor.h
+++ b/cactusmast/task_executor.h
@@ -320,6 +320,9 @@
   // Minimum time between two reports of changes to one entry.
   duration ReportSpacing() const;
   int64_t ExtendLease(instant aNow);
+  // How long the latest lease that this process requested lasts; 0: it has
+  // expired, or none was requested.
+  int64_t LeaseLeftMs(instant aNow) const;
   void MarkChanged();
   uint32_t NextRunNumber(const task_key& aKey);
 
--- a/cactusmast/task_executor_polls.cc
+++ b/cactusmast/task_executor_polls.cc
@@ -182,8 +182,9 @@
       next = aNow + kStopRetryInterval;
       SendStop(run.mTask, run.mRunNumber);
       mEvents.Emit(event_code::StrayStopped,
-                   { { "task", FormatJobId(run.mTask.mJob) },
-                     { "run", std::to_string(run.mRunNumber) } });
+                   { { "task", FormatTask(run.mTask) },
+                     { "run", std::to_string(run.mRunNumber) },
+                     { "lease_left_ms", std::to_string(LeaseLeftMs(aNow)) } });
     }
   }
   CheckProgress(listed, aNow);
--- a/cactusmast/task_executor_starts.cc
+++ b/cactusmast/task_executor_starts.cc
@@ -25,6 +25,12 @@
   return ToMs(aNow) + mClockOffsetMs + kLeaseTime.count();
 }
 
+int64_t
+task_executor::LeaseLeftMs(instant aNow) const
+{
+  return std::max<int64_t>(0, ToMs(mLeaseEnd - aNow));
+}
+
 void
 task_executor::BeginStart(task& aTask, instant aNow)
 {
@@ -106,13 +112,11 @@
   }
   task& tracked = found->second;
   if (aResult != start_result::Started) {
-    mEvents.Emit(
-      event_code::StartNotMade,
-      { { "task",
-          FormatJobId(aTask.mJob) + "." + std::to_string(aTask.mIndex) },
-        { "run", std::to_string(aRunNumber) },
-        { "result", std::string(Name(aResult)) },
-        { "unanswered_before", std::to_string(tracked.mResends) } });
+    mEvents.Emit(event_code::StartNotMade,
+                 { { "task", FormatTask(aTask) },
+                   { "run", std::to_string(aRunNumber) },
+                   { "result", std::string(Name(aResult)) },
+                   { "unanswered_before", std::to_string(tracked.mResends) } });
   }
   switch (aResult) {
     case start_result::Started:
