--- a/cactusmast/task_executor.cc
+++ b/cactusmast/task_executor.cc
@@ -69,6 +69,7 @@
       continue;
     }
     tracked.mEntry = 0;
+    tracked.mOrphanedAt = aNow;
     if (tracked.mState == task_state::Queued) {
       queued.push_back(key);
     } else {
@@ -396,8 +397,16 @@
 bool
 task_executor::MayStart(instant aNow) const
 {
-  return State(aNow) == server_state::Ready && !mHasStrays && mClockKnown &&
-         !IsRestartSuspected();
+  return State(aNow) == server_state::Ready && !NeedsLeaseExpiry() &&
+         mClockKnown && !IsRestartSuspected();
+}
+
+bool
+task_executor::IsOverdueOrphan(const task& aTask, instant aNow)
+{
+  return aTask.mOrphanedAt.count() != 0 && aTask.mState != task_state::Queued &&
+         !aTask.mStopAcknowledged &&
+         aNow - aTask.mOrphanedAt >= kOrphanStopTime;
 }
 
 void
@@ -498,7 +507,11 @@
 task_executor::ExpireTasks(instant aNow)
 {
   std::vector<task_key> unstarted;
+  mHasOverdueOrphan = false;
   for (auto& [key, tracked] : mTasks) {
+    if (IsOverdueOrphan(tracked, aNow)) {
+      mHasOverdueOrphan = true;
+    }
     if (tracked.mState == task_state::Queued) {
       if (aNow >= tracked.mStartBy) {
         unstarted.push_back(key);
@@ -552,7 +565,7 @@
   report.cpu_millis = uint32_t(mServer.mCapacity.mCpuMillis);
   report.memory_mb = uint32_t(mServer.mCapacity.mMemoryMb);
   report.gpus = uint32_t(mServer.mCapacity.mAccelerators);
-  report.free_cpu_millis = mHasStrays ? 0 : int32_t(mFree.mCpuMillis);
+  report.free_cpu_millis = NeedsLeaseExpiry() ? 0 : int32_t(mFree.mCpuMillis);
   report.free_memory_mb = int32_t(mFree.mMemoryMb);
   report.free_gpus = int32_t(mFree.mAccelerators);
   uint64_t queued = 0;
--- a/cactusmast/task_executor.h
+++ b/cactusmast/task_executor.h
@@ -29,6 +29,10 @@
 // - When the backend server restarts, a start request that was on its way may
 //   have reached either incarnation. Whether its task runs is only taken from a
 //   poll that was sent after the start was confirmed.
+// - The lease at the backend server covers all that runs there. It is not
+//   extended while a task may run whose entry cannot be told of its end and
+//   places it elsewhere after a fixed time: one of an earlier executor process,
+//   or one whose entry has disconnected and whose stop is not confirmed.
 // - From the loss of a connection to the backend server until the next poll
 //   reply, it may be another incarnation, with another clock and other numbers
 //   of ends. Until then nothing is started, no lease is extended and no end is
@@ -208,7 +212,8 @@
     bool mSlowReported = false;
     bool mStopping = false;
     bool mStopAcknowledged = false;
-    instant mNextStop{}; // when the stop request is sent again
+    instant mOrphanedAt{}; // when its entry disconnected; 0: it has not
+    instant mNextStop{};   // when the stop request is sent again
     attempt_outcome mStopOutcome = attempt_outcome::Stopped;
     uint32_t mRetries = 0;      // new starts after a refusal
     uint32_t mResends = 0;      // start requests that got no reply
@@ -260,6 +265,10 @@
   void SendPoll(instant aNow);
   void OnDisconnected(instant aNow);
   bool IsRestartSuspected() const { return mRestartSuspectedAt.count() != 0; }
+  // Whether a task may run that only the expiry of the lease ends in time.
+  bool NeedsLeaseExpiry() const { return mHasStrays || mHasOverdueOrphan; }
+  // Whether the stop of a task whose entry has disconnected is overdue.
+  static bool IsOverdueOrphan(const task& aTask, instant aNow);
   // How long the backend server may delay the reply to the next poll.
   milliseconds PollWait(instant aNow) const;
   // Sends a new start request after a refusal that it can avoid, or gives the
@@ -369,6 +378,7 @@
   int64_t mServerStartTimeMs = 0; // names its incarnation; 0: not known
   bool mHasStrays = true;         // assumed until the first poll reply
   std::map<task_key, instant> mStrayStops; // when each is stopped again
+  bool mHasOverdueOrphan = false;          // as of the last Tick
 
   robust_slowness mSlowness;
   robust_slowness mColdSlowness; // while the backend server is cold
--- a/cactusmast/task_executor_limits.h
+++ b/cactusmast/task_executor_limits.h
@@ -34,6 +34,10 @@
 // that the task is started at most once, whenever the first request is carried
 // out.
 constexpr uint32_t kMaxStartResends = 5;
+// From the disconnection of an entry until the lease is no longer extended if
+// the stop of one of its tasks is not confirmed. The lease then expires before
+// the entry places the task again. Two stop requests may get no reply.
+constexpr duration kOrphanStopTime = milliseconds(80);
 // Between polls while stray tasks are being stopped, which takes up to 50 ms.
 constexpr duration kStrayPollInterval = milliseconds(10);
 // Maximum number of new starts of a task after refusals that the next request
--- a/cactusmast/task_executor_polls.cc
+++ b/cactusmast/task_executor_polls.cc
@@ -54,7 +54,8 @@
   // the end of a lease cannot be given.
   bool responsive = mClockKnown && !IsRestartSuspected() &&
                     aNow - mLastPollReplyAt < kServerTimeout;
-  request.mLeaseUntilMs = responsive ? ExtendLease(aNow) : 0;
+  request.mLeaseUntilMs =
+    responsive && !NeedsLeaseExpiry() ? ExtendLease(aNow) : 0;
   request.mWaitMs =
     responsive && !mHasStrays ? uint32_t(PollWait(aNow).count()) : 0;
   mPendingPolls[request.mNumber] = aNow;
--- a/cactusmast/task_executor_starts.cc
+++ b/cactusmast/task_executor_starts.cc
@@ -177,7 +177,7 @@
   if (pointless) {
     aTask.mAwaitsResend = false;
     GiveUpStart(aTask, attempt_outcome::Lost, aNow);
-  } else if (!IsRestartSuspected()) {
+  } else if (!IsRestartSuspected() && !NeedsLeaseExpiry()) {
     aTask.mAwaitsResend = false;
     SendStart(aTask, aNow);
   }
--- a/cactusmast/testing/fake_server.cc
+++ b/cactusmast/testing/fake_server.cc
@@ -35,6 +35,13 @@
   return mDown || mWorld.Uniform() < mUnansweredShare;
 }
 
+bool
+fake_server::IsOrderUnanswered()
+{
+  return IsUnanswered() ||
+         (mUnansweredOrders > 0 && mWorld.Uniform() < mUnansweredOrders);
+}
+
 bool
 fake_server::IsRunning(const task_key& aTask) const
 {
@@ -88,7 +95,7 @@
       });
     });
   };
-  if (!IsUnanswered()) {
+  if (!IsOrderUnanswered()) {
     reply(Execute(aRequest));
     return;
   }
@@ -126,7 +133,7 @@
       });
     });
   };
-  if (!IsUnanswered()) {
+  if (!IsOrderUnanswered()) {
     Execute(aRequest);
     reply(true);
     return;
--- a/cactusmast/testing/known_server.h
+++ b/cactusmast/testing/known_server.h
@@ -69,13 +69,15 @@
 // An executor whose backend server is announced and has replied to a poll.
 struct known_server
 {
-  explicit known_server(const mechanism_set& aMechanisms = {})
+  // aRunning: tasks in that reply, of an earlier executor process.
+  explicit known_server(const mechanism_set& aMechanisms = {},
+                        std::vector<running_task> aRunning = {})
     : mExecutor(1, "s", "a", mLinks, mRunner, mEvents, aMechanisms)
   {
     mExecutor.OnEntryUp(1, "entry", mNow);
     Announce(0);
     mExecutor.Tick(mNow);
-    ReplyToPoll({}, {});
+    ReplyToPoll(std::move(aRunning), {});
   }
 
   void Announce(uint32_t aColdLeftMs)
--- a/cactusmast/testing/sized_world.h
+++ b/cactusmast/testing/sized_world.h
@@ -65,6 +65,8 @@
   // Share of requests without a reply; start requests among them are carried
   // out 2 to 4 s later.
   double mUnansweredShare = 0;
+  // The same of start and stop requests alone; polls get their replies.
+  double mUnansweredOrders = 0;
   uint32_t mStarts = 0; // of tasks, in all incarnations
 
 private:
@@ -84,6 +86,7 @@
   server_snapshot Execute(const poll_request& aRequest);
   void End(const task_key& aTask, end_kind aHow);
   bool IsUnanswered();
+  bool IsOrderUnanswered();
   void After(duration aDelay, std::function<void()> aDo);
 
   sized_world& mWorld;
