--- a/cactusmast/task_executor_polls.cc
+++ b/cactusmast/task_executor_polls.cc
@@ -263,9 +263,10 @@
   }
   mIncarnationSince = aNow;
   mClockKnown = false;
-  mEvents.Emit(
-    event_code::BackendReborn,
-    { { "server", mServer.mId }, { "unsettled", std::to_string(Running()) } });
+  mEvents.Emit(event_code::BackendReborn,
+               { { "server", mServer.mId },
+                 { "unsettled", std::to_string(Running()) },
+                 { "queued", std::to_string(Queued()) } });
   mNextPoll = aNow; // shows which of the tasks run on the new incarnation
   mFailuresInRow = 0;
   mQuarantinedUntil = instant(0);
