--- a/cactusmast/job_coordinator.h
+++ b/cactusmast/job_coordinator.h
@@ -270,7 +270,10 @@
     size_t mViewIndex = 0;              // index in mViews
     executor_subset* mSubset = nullptr; // null until its service is known
     instant mLastHeard{};
-    uint64_t mClockMs = 0;     // its clock by the latest report; 0: not known
+    uint64_t mClockMs = 0; // its clock by the latest report; 0: not known
+    // Names the incarnation of its backend server in the latest report; 0: not
+    // known.
+    int64_t mServerStartTimeMs = 0;
     instant mReportDueSince{}; // zero: no report is due
     uint64_t mLastDispatchNumber = 0;
     // Resources of the dispatches that no report accounts for yet, by number.
--- a/cactusmast/job_coordinator_executors.cc
+++ b/cactusmast/job_coordinator_executors.cc
@@ -127,6 +127,7 @@
   executor& peerState = found->second;
   peerState.mLastHeard = aNow;
   peerState.mClockMs = aReport.clock_ms;
+  peerState.mServerStartTimeMs = aReport.server_start_ms;
   server_view& view = mViews[peerState.mViewIndex];
   auto state = server_state(
     std::min<uint8_t>(aReport.state, uint8_t(server_state::Count) - 1));
--- a/cactusmast/job_coordinator_placement.cc
+++ b/cactusmast/job_coordinator_placement.cc
@@ -386,6 +386,7 @@
     dispatch.start_within_ms = kStartWithinMs;
     dispatch.evacuating = EncodeEvacuations(mEvacuations, aNow);
     dispatch.receiver_clock_ms = ExecutorClockMs(peer, aNow);
+    dispatch.server_start_ms = peerState.mServerStartTimeMs;
     dispatch.stop_after_ms =
       uint32_t(std::max<int64_t>(0, ToMs(owner.mDeadline - aNow)));
     resources size;
--- a/cactusmast/task_executor.cc
+++ b/cactusmast/task_executor.cc
@@ -189,6 +189,14 @@
     refuse(attempt_outcome::Unusable);
     return;
   }
+  // The entry has not learned of a restart yet. The new incarnation may lack
+  // the capacity or the label that the task requires.
+  bool otherIncarnation = aDispatch.server_start_ms != 0 &&
+                          aDispatch.server_start_ms != mServer.mStartTimeMs;
+  if (otherIncarnation) {
+    refuse(attempt_outcome::Unusable);
+    return;
+  }
   resources size{ aDispatch.cpu_millis, aDispatch.memory_mb, aDispatch.gpus };
   // The stop of an earlier attempt of the same task may not be complete.
   if (mTasks.count(key) > 0 || !size.FitsIn(mServer.mCapacity)) {
@@ -507,6 +515,7 @@
 task_executor::ExpireTasks(instant aNow)
 {
   std::vector<task_key> unstarted;
+  std::vector<task_key> resends;
   mHasOverdueOrphan = false;
   for (auto& [key, tracked] : mTasks) {
     if (IsOverdueOrphan(tracked, aNow)) {
@@ -519,7 +528,7 @@
       continue;
     }
     if (tracked.mAwaitsResend) {
-      ResendStart(tracked, aNow);
+      resends.push_back(key);
     }
     if (aNow >= tracked.mStopBy) {
       BeginStop(tracked, attempt_outcome::Stopped, aNow);
@@ -533,6 +542,12 @@
   for (const task_key& key : unstarted) {
     End(key, attempt_outcome::NoRoom, aNow);
   }
+  for (const task_key& key : resends) {
+    auto found = mTasks.find(key);
+    if (found != mTasks.end()) {
+      ResendStart(found->second, aNow);
+    }
+  }
 }
 
 void
@@ -580,6 +595,7 @@
   report.slowness_permille = uint32_t(Slowness() * 1000);
   report.labels = mServer.mLabels;
   report.clock_ms = uint64_t(ToMs(aNow));
+  report.server_start_ms = mServer.mStartTimeMs;
   return report;
 }
 
--- a/cactusmast/task_executor.h
+++ b/cactusmast/task_executor.h
@@ -21,7 +21,8 @@
 //   gives this executor up and places the tasks elsewhere. A dispatch that was
 //   sent kEntryTimeout ago is refused.
 // - Nothing is started on an incarnation of the backend server that has not
-//   announced its capacity, service and labels.
+//   announced its capacity, service and labels, nor on another one than that
+//   for which the entry placed the task.
 // - While the executor's data centre is being evacuated nothing is started;
 //   running tasks are left to finish.
 // - A start request without a reply is in doubt. It is resolved by the reply to
@@ -217,7 +218,7 @@
     attempt_outcome mStopOutcome = attempt_outcome::Stopped;
     uint32_t mRetries = 0;      // new starts after a refusal
     uint32_t mResends = 0;      // start requests that got no reply
-    bool mAwaitsResend = false; // sent again once no restart is suspected
+    bool mAwaitsResend = false; // its start request is to be sent again
   };
 
   struct entry_link
@@ -274,7 +275,7 @@
   // Sends a new start request after a refusal that it can avoid, or gives the
   // start up after kMaxStartRetries or in an evacuation.
   void RetryStart(task& aTask, instant aNow);
-  // Sends a start request without a reply again, unless that has to wait or is
+  // Sends the start request of a task again, unless that has to wait or is
   // pointless.
   void ResendStart(task& aTask, instant aNow);
   void GiveUpStart(task& aTask, attempt_outcome aWhy, instant aNow);
--- a/cactusmast/task_executor_polls.cc
+++ b/cactusmast/task_executor_polls.cc
@@ -258,6 +258,9 @@
   bool first = mServerStartTimeMs == 0;
   mServerStartTimeMs = aStartTimeMs;
   mLastEndSeen = 0;
+  size_t queued = Queued();
+  // They were placed by the capacity and labels of the former incarnation.
+  ReturnQueued(attempt_outcome::Unusable, aNow);
   if (first) {
     return;
   }
@@ -266,7 +269,7 @@
   mEvents.Emit(event_code::BackendReborn,
                { { "server", mServer.mId },
                  { "unsettled", std::to_string(Running()) },
-                 { "queued", std::to_string(Queued()) } });
+                 { "queued", std::to_string(queued) } });
   mNextPoll = aNow; // shows which of the tasks run on the new incarnation
   mFailuresInRow = 0;
   mQuarantinedUntil = instant(0);
--- a/cactusmast/task_executor_starts.cc
+++ b/cactusmast/task_executor_starts.cc
@@ -70,7 +70,9 @@
     GiveUpStart(aTask, attempt_outcome::Unusable, aNow);
     return;
   }
-  BeginStart(aTask, aNow);
+  aTask.mState = task_state::Starting;
+  aTask.mAwaitsResend = true;
+  ResendStart(aTask, aNow);
 }
 
 // The reply to the last start request says nothing about an earlier one without
@@ -176,9 +178,12 @@
                    restarted || aTask.mResends > kMaxStartResends;
   if (pointless) {
     aTask.mAwaitsResend = false;
-    GiveUpStart(aTask, attempt_outcome::Lost, aNow);
+    GiveUpStart(aTask, attempt_outcome::Unusable, aNow);
   } else if (!IsRestartSuspected() && !NeedsLeaseExpiry()) {
     aTask.mAwaitsResend = false;
+    if (aTask.mResends == 0) {
+      aTask.mStartSentAt = aNow; // all requests before were refused
+    }
     SendStart(aTask, aNow);
   }
 }
--- a/cactusmast/testing/job_coordinator_test.cc
+++ b/cactusmast/testing/job_coordinator_test.cc
@@ -23,9 +23,10 @@
   , public random_source
 {
 public:
-  void SendDispatch(peer_id aExecutor, wire::start_tasks_msg) override
+  void SendDispatch(peer_id aExecutor, wire::start_tasks_msg aDispatch) override
   {
     mDispatches[aExecutor]++;
+    mServerStartMs = aDispatch.server_start_ms;
     if (mOnDispatch) {
       mOnDispatch(aExecutor);
     }
@@ -41,6 +42,7 @@
   double NextUniform() override { return 0.5; }
 
   std::map<peer_id, uint32_t> mDispatches; // by executor
+  int64_t mServerStartMs = 0;              // in the last dispatch
   std::function<void(peer_id)> mOnDispatch;
   std::vector<job_outcome> mOutcomes;
 };
@@ -84,6 +86,7 @@
     report.free_memory_mb = 1024;
     report.room_in_ms = used > 0 ? 500 : 0;
     report.slowness_permille = 2000;
+    report.server_start_ms = mServerStartMs;
     if (aRunMs > 0) {
       report.ends.emplace_back(
         0, 7, 0, 0, 1, aRunMs, uint8_t(attempt_outcome::Done));
@@ -124,6 +127,7 @@
   recorded_dispatches mPorts;
   std::map<peer_id, uint32_t> mCpuMillis; // of the executors' servers
   uint32_t mUsedMillis = 0;               // on each server, by other entries
+  int64_t mServerStartMs = 5;             // of the servers' incarnations
   std::shared_ptr<const route_table> mTable;
   job_coordinator mCoordinator;
 };
@@ -208,6 +212,23 @@
   CHECK(entry.mCoordinator.WaitingTasks() == 0);
 }
 
+TEST_CASE("a dispatch names the incarnation that the entry placed it for")
+{
+  // Guards against starts on an incarnation without the label they require.
+  new_entry entry;
+  entry.AddExecutor(1, kLargeMillis);
+  job_step step;
+  step.mCount = 1;
+  step.mSize.mCpuMillis = 1000;
+  step.mDeclaredMs = 100;
+  entry.Submit({ step });
+  CHECK(entry.mPorts.mServerStartMs == 5);
+  entry.mServerStartMs = 6;
+  entry.Report(1, kLargeMillis, 100); // the first job has ended
+  entry.Submit({ step });
+  CHECK(entry.mPorts.mServerStartMs == 6);
+}
+
 TEST_CASE("a dispatch that closes the connection loses no other task")
 {
   // Guards against a task placed at an executor that is not connected any more.
--- a/cactusmast/testing/known_server.h
+++ b/cactusmast/testing/known_server.h
@@ -43,6 +43,7 @@
   {
     mReports++;
     mMeanRunMs = aReport.mean_run_ms;
+    mServerStartMs = aReport.server_start_ms;
     for (const wire::task_end& end : aReport.ends) {
       mOutcomes.push_back(attempt_outcome(end.outcome()));
     }
@@ -51,7 +52,8 @@
 
   std::vector<attempt_outcome> mOutcomes;
   uint32_t mReports = 0;
-  uint32_t mMeanRunMs = 0; // in the last report
+  uint32_t mMeanRunMs = 0;    // in the last report
+  int64_t mServerStartMs = 0; // in the last report
   uint32_t mClosedLinks = 0;
 };
 
@@ -122,6 +124,14 @@
     mExecutor.OnStartTasks(1, dispatch, mNow);
   }
 
+  // The same, placed for the incarnation that started at aServerStartMs.
+  void DispatchFor(int64_t aServerStartMs)
+  {
+    wire::start_tasks_msg dispatch = MakeDispatch(1);
+    dispatch.server_start_ms = aServerStartMs;
+    mExecutor.OnStartTasks(1, dispatch, mNow);
+  }
+
   // The same, sent at aSentAt by the executor's clock.
   void DispatchSentAt(instant aSentAt)
   {
--- a/cactusmast/testing/task_executor_restart_test.cc
+++ b/cactusmast/testing/task_executor_restart_test.cc
@@ -9,6 +9,8 @@
 
 // The backend server restarts; its first incarnation has ended kEnds tasks.
 constexpr int kEnds = 3;
+// How many tasks of a dispatch the backend server runs at a time.
+constexpr uint32_t kTasksThatFit = 10;
 
 struct restarting_server : known_server
 {
@@ -28,6 +30,15 @@
     Advance(milliseconds(1));
   }
 
+  // Takes up all capacity, so that later dispatches are queued. Returns how
+  // many start requests have been sent.
+  size_t FillUp()
+  {
+    Dispatch(nullptr, kTasksThatFit);
+    Advance(milliseconds(1));
+    return mRunner.mStarts.size();
+  }
+
   // The executor has sent one more start request.
   start_request SendStart()
   {
@@ -183,6 +194,74 @@
   CHECK(world.mRunner.mStarts.size() == starts + 1);
 }
 
+TEST_CASE("queued tasks are returned when the backend server has restarted")
+{
+  // Guards against starts on an incarnation without the label they require.
+  restarting_server world;
+  size_t starts = world.FillUp();
+  wire::start_tasks_msg queued = world.MakeDispatch(1);
+  queued.job = 8;
+  queued.start_within_ms = 200;
+  world.mExecutor.OnStartTasks(1, queued, world.mNow);
+  world.Advance(milliseconds(1));
+  REQUIRE(world.mExecutor.Queued() == 1);
+  world.mLinks.mOutcomes.clear();
+  world.Restart();
+  SUBCASE("an announcement shows the restart")
+  {
+    world.Announce(0);
+  }
+  SUBCASE("a poll reply shows the restart")
+  {
+    world.ReplyToPoll({}, {});
+  }
+  world.Advance(milliseconds(1));
+  CHECK(world.mExecutor.Queued() == 0);
+  CHECK(world.mLinks.mOutcomes ==
+        std::vector<attempt_outcome>{ attempt_outcome::Unusable });
+  CHECK(world.mRunner.mStarts.size() == starts);
+}
+
+TEST_CASE("a dispatch that was placed for a former incarnation starts nothing")
+{
+  // Guards against starts on an incarnation without the label they require.
+  restarting_server world;
+  int64_t former = world.mStartTimeMs;
+  world.Restart();
+  world.Announce(0);
+  world.Advance(milliseconds(1));
+  world.ReplyToPoll({}, {});
+  size_t starts = world.mRunner.mStarts.size();
+  world.mLinks.mOutcomes.clear();
+  world.DispatchFor(former);
+  world.Advance(milliseconds(1));
+  CHECK(world.mRunner.mStarts.size() == starts);
+  CHECK(world.mLinks.mOutcomes ==
+        std::vector<attempt_outcome>{ attempt_outcome::Unusable });
+  CHECK(world.mLinks.mServerStartMs == world.mStartTimeMs);
+  world.DispatchFor(world.mLinks.mServerStartMs);
+  world.Advance(milliseconds(1));
+  CHECK(world.mRunner.mStarts.size() == starts + 1);
+}
+
+TEST_CASE("a start that was refused is not sent again to another incarnation")
+{
+  // Guards against starts on an incarnation without the label they require.
+  restarting_server world;
+  world.SendStart();
+  size_t starts = world.mRunner.mStarts.size();
+  world.Restart();
+  world.LoseConnection();
+  world.ReplyToStart(start_result::LeaseExpired); // by the new incarnation
+  CHECK(world.mRunner.mStarts.size() == starts);
+  world.ReplyToPoll({}, {});
+  world.Announce(0);
+  world.Advance(milliseconds(1));
+  CHECK(world.mRunner.mStarts.size() == starts);
+  CHECK(world.mLinks.mOutcomes ==
+        std::vector<attempt_outcome>{ attempt_outcome::Unusable });
+}
+
 TEST_CASE("a delayed announcement does not replace the incarnation that a poll "
           "has shown")
 {
