--- a/cactusmast/task_executor.cc
+++ b/cactusmast/task_executor.cc
@@ -246,12 +246,15 @@
   MarkChanged();
 }
 
-void
+bool
 task_executor::OnAnnouncement(const server_announcement& aAnnouncement,
                               instant aNow)
 {
+  if (aAnnouncement.mService != mService) {
+    return false;
+  }
   if (IsOutdated(aAnnouncement)) {
-    return;
+    return true;
   }
   bool changed = !mServerKnown || IsRestored() ||
                  aAnnouncement.mId != mServer.mId ||
@@ -275,6 +278,7 @@
   if (aAnnouncement.mDraining) {
     ReturnQueued(attempt_outcome::Draining, aNow);
   }
+  return true;
 }
 
 // A delayed announcement may arrive after a poll reply or an announcement of a
--- a/cactusmast/task_executor.h
+++ b/cactusmast/task_executor.h
@@ -131,7 +131,9 @@
                    const wire::stop_tasks_msg& aRequest,
                    instant aNow);
 
-  void OnAnnouncement(const server_announcement& aAnnouncement, instant aNow);
+  // False, and nothing changes, if it names another service than this
+  // executor's.
+  bool OnAnnouncement(const server_announcement& aAnnouncement, instant aNow);
   // The last announcement that an earlier executor process received, restored
   // from the store. It is used until an announcement comes, for
   // kRestoredLifetime at most, and only for the incarnation that it names.
--- a/cactusmast/task_executor_restore.cc
+++ b/cactusmast/task_executor_restore.cc
@@ -16,7 +16,7 @@
     mServerStartTimeMs != 0 && mServerStartTimeMs != aServer.mStartTimeMs;
   bool enabled = mMechanisms.Has(mechanism::ServerRecall);
   if (!enabled || mServerKnown || aServer.mStartTimeMs == 0 ||
-      otherIncarnation) {
+      otherIncarnation || aServer.mService != mService) {
     return;
   }
   SetServer(aServer);
--- a/cactusmast/testing/task_executor_restart_test.cc
+++ b/cactusmast/testing/task_executor_restart_test.cc
@@ -262,6 +262,27 @@
         std::vector<attempt_outcome>{ attempt_outcome::Unusable });
 }
 
+TEST_CASE("a backend server that announces another service is not used")
+{
+  // Guards against tasks on a backend server of another service.
+  restarting_server world;
+  server_announcement other = *world.mExecutor.Announcement();
+  other.mService = "t";
+  other.mSequence += 1;
+  CHECK(!world.mExecutor.OnAnnouncement(other, world.mNow));
+  CHECK(world.mExecutor.State(world.mNow) == server_state::Ready);
+  other.mStartTimeMs = world.mStartTimeMs + 1;
+  world.Restart();
+  world.LoseConnection();
+  world.ReplyToPoll({}, {});
+  CHECK(!world.mExecutor.OnAnnouncement(other, world.mNow));
+  size_t starts = world.mRunner.mStarts.size();
+  world.Dispatch();
+  world.Advance(milliseconds(1));
+  CHECK(world.mRunner.mStarts.size() == starts);
+  CHECK(world.mExecutor.State(world.mNow) == server_state::Absent);
+}
+
 TEST_CASE("a delayed announcement does not replace the incarnation that a poll "
           "has shown")
 {
--- a/cactusmast/testing/task_executor_test.cc
+++ b/cactusmast/testing/task_executor_test.cc
@@ -333,6 +333,7 @@
   CHECK(world.mExecutor.Slowness() > 3);
   server_announcement next;
   next.mId = "i-2";
+  next.mService = "s";
   next.mStartTimeMs = 6;
   next.mCapacity = { 32000, 1000, 0 };
   world.mExecutor.OnAnnouncement(next, world.mNow);
--- a/shell/executor_daemon.cc
+++ b/shell/executor_daemon.cc
@@ -86,17 +86,20 @@
   result<decoded_announcement> decoded = mAdapter.mAnnouncements.Decode(
     aExchange.Method(), aExchange.Path(), aExchange.Body());
   if (!decoded.Ok()) {
-    mLog.Emit(
-      event_code::PeerProtocolError,
-      { { "peer", "backend server" }, { "text", decoded.Error().what() } });
-    mControl->Answer(aExchange.Id(), ErrorAnswer(decoded.Error()));
+    RefuseAnnouncement(aExchange, decoded.Error());
     return;
   }
   const decoded_announcement& announcement = decoded.Value();
-  if (announcement.mKind == announcement_kind::Present) {
-    mExecutor.OnAnnouncement(announcement.mServer, Now());
-  } else {
+  if (announcement.mKind == announcement_kind::Withdrawn) {
     mExecutor.OnWithdrawal(announcement.mServer.mId, Now());
+  } else if (!mExecutor.OnAnnouncement(announcement.mServer, Now())) {
+    RefuseAnnouncement(aExchange,
+                       failure(error_code::BadRequest,
+                               "announce",
+                               "backend server",
+                               "service " + announcement.mServer.mService +
+                                 " is not served here"));
+    return;
   }
   StoreServerRecord();
   http_answer answer;
@@ -105,6 +108,15 @@
   TickSoon();
 }
 
+void
+executor_daemon::RefuseAnnouncement(const http_exchange& aExchange,
+                                    const failure& aWhy)
+{
+  mLog.Emit(event_code::PeerProtocolError,
+            { { "peer", "backend server" }, { "text", aWhy.what() } });
+  mControl->Answer(aExchange.Id(), ErrorAnswer(aWhy));
+}
+
 void
 executor_daemon::OnServerRecord(const std::string& aBytes)
 {
--- a/shell/executor_daemon.h
+++ b/shell/executor_daemon.h
@@ -72,6 +72,7 @@
   void ReadEvacuations(instant aNow);
   // Takes over the server record that an earlier process of this executor
   // stored.
+  void RefuseAnnouncement(const http_exchange& aExchange, const failure& aWhy);
   void OnServerRecord(const std::string& aBytes);
   // Stores the record of the announced backend server; removes it once that one
   // drains.
