--- a/cactusmast/server_record.cc
+++ b/cactusmast/server_record.cc
@@ -3,6 +3,21 @@
 #include "cactusmast/message.h"
 
 namespace cactusmast {
+namespace {
+
+// Of each resource; more would not fit into messages.
+constexpr int64_t kMaxResource = 1 << 30;
+
+bool
+IsPlausible(const server_announcement& aServer)
+{
+  const resources& capacity = aServer.mCapacity;
+  resources most{ kMaxResource, kMaxResource, kMaxResource };
+  return !aServer.mId.empty() && aServer.mStartTimeMs >= 0 &&
+         capacity.FitsIn(most) && resources{}.FitsIn(capacity);
+}
+
+} // namespace
 
 std::string
 EncodeServerRecord(const server_announcement& aServer)
@@ -40,6 +55,12 @@
                                record->memory_mb,
                                record->gpus };
     announcement.mLabels = record->labels;
+    if (!IsPlausible(announcement)) {
+      throw failure(error_code::Protocol,
+                    "decode",
+                    "store",
+                    "server record with a number out of range");
+    }
     return announcement;
   });
 }
--- a/cactusmast/testing/server_record_test.cc
+++ b/cactusmast/testing/server_record_test.cc
@@ -157,6 +157,22 @@
   }
 }
 
+TEST_CASE("a server record with a number out of range is not used")
+{
+  // Guards against tasks sized for a capacity that no backend server has.
+  for (int64_t odd : { int64_t(-1), INT64_MAX }) {
+    server_announcement cpu = SampleAnnouncement();
+    cpu.mCapacity.mCpuMillis = odd;
+    CHECK_FALSE(DecodeServerRecord(EncodeServerRecord(cpu)).Ok());
+    server_announcement accelerators = SampleAnnouncement();
+    accelerators.mCapacity.mAccelerators = odd;
+    CHECK_FALSE(DecodeServerRecord(EncodeServerRecord(accelerators)).Ok());
+  }
+  server_announcement nameless = SampleAnnouncement();
+  nameless.mId.clear();
+  CHECK_FALSE(DecodeServerRecord(EncodeServerRecord(nameless)).Ok());
+}
+
 TEST_CASE(
   "a row is written once, retried after a failure, and removed on demand")
 {
--- a/shell/coordinator_daemon.cc
+++ b/shell/coordinator_daemon.cc
@@ -254,9 +254,8 @@
   for (const store_row& row : aChange.mRows) {
     if (row.mDeleted) {
       mDirectory.Unpin(row.mKey);
-    } else if (mDirectory.Add(row.mKey, true, Now())) {
-      mLog.Emit(event_code::EntryKnown,
-                { { "address", row.mKey }, { "source", "store" } });
+    } else {
+      AddEntry(row.mKey, true, "store", Now());
     }
   }
 }
--- a/shell/instance_daemon.cc
+++ b/shell/instance_daemon.cc
@@ -2,6 +2,8 @@
 
 #include <sys/stat.h>
 
+#include "util/host_port.h"
+
 namespace cactusmast {
 namespace {
 
@@ -150,10 +152,25 @@
                             instant aNow)
 {
   for (const std::string& address : aAddresses) {
-    if (mDirectory.Add(address, false, aNow)) {
-      mLog.Emit(event_code::EntryKnown,
-                { { "address", address }, { "source", aSource } });
-    }
+    AddEntry(address, false, aSource, aNow);
+  }
+}
+
+void
+instance_daemon::AddEntry(const std::string& aAddress,
+                          bool aPinned,
+                          const std::string& aSource,
+                          instant aNow)
+{
+  std::optional<host_port> parsed = ParseHostPort(aAddress);
+  if (!parsed || parsed->mPort == 0) {
+    mLog.Emit(event_code::PeerProtocolError,
+              { { "peer", aSource }, { "text", "bad address " + aAddress } });
+    return;
+  }
+  if (mDirectory.Add(aAddress, aPinned, aNow)) {
+    mLog.Emit(event_code::EntryKnown,
+              { { "address", aAddress }, { "source", aSource } });
   }
 }
 
--- a/shell/instance_daemon.h
+++ b/shell/instance_daemon.h
@@ -59,6 +59,11 @@
   void AddEntries(const std::vector<std::string>& aAddresses,
                   const std::string& aSource,
                   instant aNow);
+  // Ignores an address that nothing can be connected to.
+  void AddEntry(const std::string& aAddress,
+                bool aPinned,
+                const std::string& aSource,
+                instant aNow);
 
   instance_settings mInstance;
   process_role mRole;
--- a/shell/peer_transport.cc
+++ b/shell/peer_transport.cc
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include "util/constant_time.h"
+#include "util/host_port.h"
 
 namespace cactusmast {
 namespace {
@@ -49,14 +50,12 @@
 gobject_ptr<GSocketAddress>
 ParseAddress(const std::string& aText)
 {
-  size_t colon = aText.rfind(':');
-  if (colon == std::string::npos) {
+  std::optional<host_port> parsed = ParseHostPort(aText);
+  if (!parsed) {
     return nullptr;
   }
-  std::string host = aText.substr(0, colon);
-  auto port = guint(std::strtoul(aText.c_str() + colon + 1, nullptr, 10));
-  return gobject_ptr<GSocketAddress>(
-    g_inet_socket_address_new_from_string(host.c_str(), port));
+  return gobject_ptr<GSocketAddress>(g_inet_socket_address_new_from_string(
+    parsed->mHost.c_str(), parsed->mPort));
 }
 
 peer_transport::peer_transport(transport_options aOptions,
