--- a/cactusmast/api_json.cc
+++ b/cactusmast/api_json.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "util/bounded_json.h"
+
 namespace cactusmast {
 namespace {
 
@@ -329,16 +331,16 @@
 {
   json rows = json::array();
   for (const table_row& row : aRows) {
-    json change = json::parse(row.mValue, nullptr, false);
+    json change = ParseBoundedJson(row.mValue);
     bool included = change.is_object() &&
-                    (aName.empty() || change.value("name", "") == aName);
+                    (aName.empty() || TextField(change, "name") == aName);
     if (included) {
       rows.push_back(std::move(change));
     }
   }
   std::stable_sort(
     rows.begin(), rows.end(), [](const json& aLeft, const json& aRight) {
-      return aLeft.value("when", int64_t(0)) > aRight.value("when", int64_t(0));
+      return WholeField(aLeft, "when") > WholeField(aRight, "when");
     });
   return Dump({ { "audit", rows } });
 }
--- a/cactusmast/config_agent.cc
+++ b/cactusmast/config_agent.cc
@@ -5,6 +5,8 @@
 #include <cstdio>
 #include <nlohmann/json.hpp>
 
+#include "util/bounded_json.h"
+
 namespace cactusmast {
 namespace {
 
@@ -464,10 +466,8 @@
     SubmitCommit();
     return;
   }
-  json auditRow = json::parse(row->mValue, nullptr, false);
-  bool isOwn =
-    auditRow.is_object() && auditRow.value("operation", "") ==
-                              mPendingChanges.front().mChange.mOperation;
+  bool isOwn = TextField(ParseBoundedJson(row->mValue), "operation") ==
+               mPendingChanges.front().mChange.mOperation;
   if (!isOwn) {
     StartChange();
     return;
--- a/cactusmast/entry_membership.cc
+++ b/cactusmast/entry_membership.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "cactusmast/entry_node.h"
+#include "util/bounded_json.h"
 
 namespace cactusmast {
 namespace {
@@ -22,6 +23,9 @@
 // seconds on a thin link.
 constexpr milliseconds kRepushInterval{ 5000 };
 
+// Longest age of a worker that is told apart, in seconds; a year.
+constexpr int64_t kMaxWorkerAgeS = 365 * 24 * 3600;
+
 // The row of a roster lists the workers of a shard that may hold records.
 constexpr char kRosterPrefix[] = "roster/";
 
@@ -45,6 +49,24 @@
   aInto->push_back(aWorker);
 }
 
+// An element of a roster; nothing if it is another writer's.
+std::optional<known_worker>
+DecodeWorker(const json& aWorker, int64_t aWallSeconds, instant aNow)
+{
+  std::optional<std::string> name = TextField(aWorker, "name");
+  std::optional<uint64_t> incarnation;
+  auto found = aWorker.find("incarnation");
+  if (found != aWorker.end() && found->is_number_unsigned()) {
+    incarnation = found->get<uint64_t>(); // may be any 64-bit number
+  }
+  std::optional<int64_t> last = WholeField(aWorker, "last");
+  if (!name || !incarnation || !last) {
+    return std::nullopt;
+  }
+  int64_t age = std::clamp<int64_t>(aWallSeconds - *last, 0, kMaxWorkerAgeS);
+  return known_worker{ *name, *incarnation, aNow - std::chrono::seconds(age) };
+}
+
 } // namespace
 
 void
@@ -149,7 +171,7 @@
   }
   mRostersRead = true;
   for (const table_row& row : aReply.mRows) {
-    json listed = json::parse(row.mValue, nullptr, false);
+    json listed = ParseBoundedJson(row.mValue);
     uint32_t number = uint32_t(
       std::strtoul(row.mKey.c_str() + sizeof kRosterPrefix - 1, nullptr, 10));
     if (!listed.is_array() || row.mKey != RosterKey(number)) {
@@ -158,11 +180,11 @@
     std::vector<known_worker>& roster = Shard(number).mRoster;
     roster.clear();
     for (const json& worker : listed) {
-      int64_t age = mWallSeconds - worker.value("last", int64_t(0));
-      roster.push_back(
-        { worker.value("name", ""),
-          worker.value("incarnation", uint64_t(0)),
-          aNow - std::chrono::seconds(std::max<int64_t>(0, age)) });
+      std::optional<known_worker> known =
+        DecodeWorker(worker, mWallSeconds, aNow);
+      if (known) {
+        roster.push_back(std::move(*known));
+      }
     }
   }
   for (auto& [number, shard] : mShards) {
@@ -469,17 +491,20 @@
   }
   std::map<std::string, std::string> addresses;
   for (const table_row& row : aReply.mRows) {
-    json listed = json::parse(row.mValue, nullptr, false);
-    if (!listed.is_object()) {
-      continue;
-    }
-    int64_t age = mWallSeconds - listed.value("renewed", int64_t(0));
+    json listed = ParseBoundedJson(row.mValue);
+    std::optional<std::string> name = TextField(listed, "name");
+    std::optional<std::string> address = TextField(listed, "address");
+    std::optional<int64_t> renewed = WholeField(listed, "renewed");
+    if (!name || !address || !renewed) {
+      continue; // another writer's
+    }
+    int64_t age = mWallSeconds - *renewed;
     if (age > 2 * mOptions.mRowLifetimeSeconds) {
       // The row was left by an instance that failed. Its name is not used
       // again.
       mTable.Commit({ { row.mKey, "", row.mVersion, true } });
     } else if (age <= mOptions.mRowLifetimeSeconds) {
-      addresses[listed.value("name", "")] = listed.value("address", "");
+      addresses[*name] = *address;
     }
   }
   for (const auto& [peer, row] : mPeers) {
--- a/cactusmast/guard_node.cc
+++ b/cactusmast/guard_node.cc
@@ -4,6 +4,8 @@
 #include <cstdlib>
 #include <nlohmann/json.hpp>
 
+#include "util/bounded_json.h"
+
 namespace cactusmast {
 namespace {
 
@@ -310,10 +312,10 @@
   }
   std::vector<std::string> entries;
   for (const table_row& row : aReply.mRows) {
-    auto object = nlohmann::json::parse(row.mValue, nullptr, false);
-    if (object.is_object() && object.contains("address") &&
-        object["address"].is_string()) {
-      entries.push_back(object["address"].get<std::string>());
+    std::optional<std::string> address =
+      TextField(ParseBoundedJson(row.mValue), "address");
+    if (address) {
+      entries.push_back(*address);
     }
   }
   if (!entries.empty()) {
--- a/cactusmast/profile.cc
+++ b/cactusmast/profile.cc
@@ -3,6 +3,8 @@
 #include <array>
 #include <nlohmann/json.hpp>
 
+#include "util/bounded_json.h"
+
 namespace cactusmast {
 namespace {
 
@@ -241,6 +243,9 @@
       seen.push_back(aParsed.get<std::string>());
       return true;
     };
+  if (IsNestedDeeper(aJson, kMaxJsonDepth)) {
+    return InputError("nested too deeply");
+  }
   try {
     json object = json::parse(aJson, refuseDuplicates);
     T parsed = ReadObject<T>(object, aReader, true);
@@ -302,7 +307,7 @@
 {
   deployment_config config;
   try {
-    json object = json::parse(aText);
+    json object = ParseBoundedJson(aText);
     config.mVersion = object.at("version").get<uint64_t>();
     config.mShardCount = object.value("shard_count", 1u);
     for (const json& item : object.value("profiles", json::array())) {
--- a/cactusmast/testing/entry_node_test.cc
+++ b/cactusmast/testing/entry_node_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <doctest/doctest.h>
+#include <map>
 
 #include "cactusmast/entry_node.h"
 
@@ -17,7 +18,10 @@
     mSent.emplace_back(aPeer, std::move(aMessage));
   }
   void Close(peer_id) override {}
-  void Connect(const std::string&) override {}
+  void Connect(const std::string& aAddress) override
+  {
+    mConnects.push_back(aAddress);
+  }
 
   // Configurations sent to aPeer.
   int64_t Pushes(peer_id aPeer) const
@@ -29,14 +33,19 @@
   }
 
   std::vector<std::pair<peer_id, message>> mSent;
+  std::vector<std::string> mConnects;
 };
 
 // A table that is unavailable.
 struct absent_table : table_store
 {
-  uint64_t Read(const std::string&, uint32_t, bool) override { return ++mLast; }
+  uint64_t Read(const std::string& aPrefix, uint32_t, bool) override
+  {
+    return mRequests[aPrefix] = ++mLast;
+  }
   uint64_t Commit(std::vector<table_write>) override { return ++mLast; }
   uint64_t mLast = 0;
+  std::map<std::string, uint64_t> mRequests; // the last read of each prefix
 };
 
 struct no_callers : caller_port
@@ -101,6 +110,16 @@
     mEntry.Tick(mNow, 0);
   }
 
+  // The table replies to the read of aPrefix with the rows.
+  void ReplyToRead(const std::string& aPrefix, std::vector<table_row> aRows)
+  {
+    table_reply reply;
+    reply.mRequest = mTable.mRequests.at(aPrefix);
+    reply.mStatus = table_status::Ok;
+    reply.mRows = std::move(aRows);
+    mEntry.OnTableReply(reply, mNow);
+  }
+
   instant mNow = seconds(100);
   recording_network mNetwork;
   absent_table mTable;
@@ -127,6 +146,45 @@
   CHECK(entry.mNetwork.Pushes(2) == 1);
 }
 
+TEST_CASE("odd rows of entries and workers end nothing; the others are used")
+{
+  // Guards against an entry that ends each time it reads the table.
+  const std::string nested = std::string(100000, '[');
+  const char* const kOdd[] = { "",
+                               "7",
+                               "[]",
+                               R"({"name":"e","address":7,"renewed":0})",
+                               R"({"name":"e","address":"a","renewed":"x"})",
+                               R"({"name":"e","address":"a","renewed":1e300})",
+                               nested.c_str() };
+  entry_fixture entry;
+  entry.mNow += seconds(6);
+  entry.mEntry.Tick(entry.mNow, 0); // reads the table
+  std::vector<table_row> rows;
+  for (const char* odd : kOdd) {
+    rows.push_back({ "entry/" + std::to_string(rows.size()), odd, 1 });
+  }
+  std::string good = R"({"name":"entry-9","address":"10.0.0.9:7","renewed":0})";
+  rows.push_back({ "entry/9", good, 1 });
+  CHECK_NOTHROW(entry.ReplyToRead("entry/", rows));
+  entry.mNow += seconds(2);
+  entry.mEntry.Tick(entry.mNow, 0);
+  CHECK(entry.mNetwork.mConnects == std::vector<std::string>{ "10.0.0.9:7" });
+
+  const char* const kOddWorkers[] = {
+    R"([7])",
+    R"([{"name":7}])",
+    R"([{"name":"w","incarnation":"x","last":0}])",
+    R"([{"name":"w","incarnation":1,"last":-1e300}])",
+    nested.c_str()
+  };
+  rows.clear();
+  for (const char* odd : kOddWorkers) {
+    rows.push_back({ "roster/" + std::to_string(rows.size()), odd, 1 });
+  }
+  CHECK_NOTHROW(entry.ReplyToRead("roster/", rows));
+}
+
 TEST_CASE("a configuration that didn't take effect is sent again after a while")
 {
   entry_fixture entry;
--- a/cmd/cactusmast_main.cc
+++ b/cmd/cactusmast_main.cc
@@ -13,6 +13,7 @@
 #include "cmd/evacuations_command.h"
 #include "shell/daemon.h"
 #include "shell/http_client.h"
+#include "util/bounded_json.h"
 
 namespace {
 
@@ -231,7 +232,7 @@
       const http_response& aResponse,
       const std::function<void(const json&)>& aShow)
 {
-  json body = json::parse(aResponse.mBody, nullptr, false);
+  json body = ParseBoundedJson(aResponse.mBody);
   constexpr int kFirstError = 400;
   constexpr int kConflict = 409;
   if (aArguments.at("--json").asBool()) {
@@ -459,7 +460,7 @@
   http_response response =
     aClient.Send("POST", "/v1/jobs?wait_ms=" + wait, job.dump());
   int code = Print(aArguments, response, ShowJob);
-  json body = json::parse(response.mBody, nullptr, false);
+  json body = ParseBoundedJson(response.mBody);
   bool failed = body.is_object() && body.value("state", "") == "failed";
   return code == Done && failed ? Refused : code;
 }
--- a/shell/guard_daemon.cc
+++ b/shell/guard_daemon.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "shell/metrics_page.h"
+#include "util/bounded_json.h"
 
 namespace cactusmast {
 namespace {
@@ -38,7 +39,7 @@
 backend_announcement
 ParseAnnouncement(const std::string& aBody)
 {
-  json object = json::parse(aBody, nullptr, false);
+  json object = ParseBoundedJson(aBody);
   if (!object.is_object()) {
     throw BadAnnouncement("the body must be a JSON object");
   }
--- a/shell/table_client.cc
+++ b/shell/table_client.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "util/bounded_json.h"
+
 namespace cactusmast {
 namespace {
 
@@ -83,19 +85,22 @@
   if (aResponse.mFault != http_fault::None || aResponse.mStatus != kOk) {
     return reply; // Unavailable: a write may or may not have taken effect
   }
-  json body = json::parse(aResponse.mBody, nullptr, false);
-  if (!body.is_object()) {
+  json body = ParseBoundedJson(aResponse.mBody);
+  auto rows = body.find("rows");
+  if (!body.is_object() || (rows != body.end() && !rows->is_array())) {
+    return reply;
+  }
+  reply.mStatus = table_status::Ok;
+  if (rows == body.end()) {
     return reply;
   }
-  try {
-    for (const json& row : body.value("rows", json::array())) {
-      reply.mRows.push_back({ row.at("key").get<std::string>(),
-                              row.at("value").get<std::string>(),
-                              row.at("version").get<uint64_t>() });
+  for (const json& row : *rows) {
+    std::optional<std::string> key = TextField(row, "key");
+    std::optional<std::string> value = TextField(row, "value");
+    std::optional<int64_t> version = WholeField(row, "version");
+    if (key && value && version) {
+      reply.mRows.push_back({ *key, *value, uint64_t(*version) });
     }
-    reply.mStatus = table_status::Ok;
-  } catch (const json::exception&) {
-    reply.mRows.clear();
   }
   return reply;
 }
