--- a/scripts/soak/processes.py
+++ b/scripts/soak/processes.py
@@ -5,8 +5,8 @@
 import asyncio
 import os
 import random
-import signal
 
+from child import Child
 from http_wire import now
 
 GRACE_S = 6
@@ -29,16 +29,6 @@
 }
 
 
-def is_running(process):
-    """Asks the kernel: while this process stands still it learns of ends late."""
-    try:
-        with open(f"/proc/{process.pid}/stat", encoding="utf-8") as stat:
-            state = stat.read().rpartition(")")[2].split()[0]
-    except FileNotFoundError:
-        return False
-    return process.returncode is None and state != "Z"
-
-
 class Program:
     def __init__(self, build, role, name, host, store, seeds, folder, seed):
         self.name, self.host = name, host
@@ -79,13 +69,13 @@
         if name == "SIGTERM" and not self.stopping:
             self.stopping = True
             asyncio.ensure_future(self.kill_after_grace(self.process, self.starts))
-        self.process.send_signal(getattr(signal, name))
+        self.process.send(name)
 
     async def kill_after_grace(self, process, number):
         await asyncio.sleep(GRACE_S)
-        if is_running(process):
+        if process.is_running():
             self.broken.append(f"{self.name}.{number} needs SIGKILL after {GRACE_S} s")
-            process.kill()
+            process.send("SIGKILL")
 
     async def run(self):
         """Runs the program again and again until `over`."""
@@ -95,7 +85,7 @@
             self.stopping = False
             self.log = f"{self.folder}/{self.name}.{self.starts}.log"
             with open(self.log, "wb") as log:
-                self.process = await asyncio.create_subprocess_exec(
+                self.process = await Child.start(
                     self.binary, stdout=log, stderr=log,
                     env={**os.environ, "CACTUSMAST_BOOT": self.settings})
             self.started = now()
@@ -113,6 +103,10 @@
             return any('"drain_deadline"' in line and '"open_jobs":"0"' not in line
                        for line in log)
 
+    def last_line(self):
+        with open(self.log, encoding="utf-8", errors="replace") as log:
+            return next(reversed(log.read().splitlines()), "nothing")
+
     def note_end(self, code):
         terms = [at for at, name in self.signals if name == "SIGTERM" and at >= self.started]
         after = now() - terms[0] if terms else 0
@@ -128,4 +122,4 @@
             if self.jobs_at_deadline():
                 self.unfinished.append((terms[0], now(), text + ", with open jobs"))
             else:
-                self.broken.append(text)
+                self.broken.append(f"{text}; last logged: {self.last_line()}")
