--- a/cactusmast/task_executor.cc
+++ b/cactusmast/task_executor.cc
@@ -29,6 +29,12 @@
 
 } // namespace
 
+uint64_t
+FencingTokenAt(int64_t aWallMs)
+{
+  return uint64_t(std::max<int64_t>(1, aWallMs - kFencingTokenEpochMs));
+}
+
 task_executor::task_executor(uint64_t aFencingToken,
                              std::string aService,
                              std::string aDataCenter,
--- a/cactusmast/task_executor.h
+++ b/cactusmast/task_executor.h
@@ -85,6 +85,13 @@
 // takes to arrive.
 constexpr milliseconds kLeaseMargin = milliseconds(60);
 
+// The fencing token of an executor that starts at aWallMs, in milliseconds
+// since 1970. It exceeds that of any executor of the same backend server that
+// started earlier, unless the clock was set back; then the backend server
+// refuses it.
+uint64_t
+FencingTokenAt(int64_t aWallMs);
+
 // The connections of an executor to entries, as its core needs them.
 class executor_links
 {
--- a/cactusmast/task_executor_limits.h
+++ b/cactusmast/task_executor_limits.h
@@ -46,10 +46,12 @@
 // How long a restored announcement is used. A running backend server announces
 // itself twice in this time.
 constexpr duration kRestoredLifetime = milliseconds(3000);
-// Fencing tokens are start times of executors in seconds. By how much the token
-// is raised when it is refused: an earlier executor whose clock was ahead has
-// used a greater one.
-constexpr uint64_t kFencingTokenStep = 60;
+// Fencing tokens are start times of executors in milliseconds since this one,
+// 2025-01-01.
+constexpr int64_t kFencingTokenEpochMs = 1735689600000;
+// By how much the token is raised when it is refused, in ms: an earlier
+// executor whose clock was ahead has used a greater one.
+constexpr uint64_t kFencingTokenStep = 60000;
 // After this many consecutive failures, of any jobs, the backend server and not
 // the tasks is taken to be at fault, and it is quarantined.
 constexpr uint32_t kQuarantineAfterFailures = 3;
--- a/cactusmast/testing/orphan_lease_test.cc
+++ b/cactusmast/testing/orphan_lease_test.cc
@@ -59,6 +59,17 @@
   CHECK(kOrphanStopTime + kLeaseTime + kLeaseMargin <= kMaxOrphanLifetime);
 }
 
+TEST_CASE(
+  "an executor that is back within a second has a greater fencing token")
+{
+  // Guards against starts of its predecessor that are carried out afterwards.
+  constexpr int64_t kKilledMs = 1796600845000;
+  CHECK(FencingTokenAt(kKilledMs + 300) > FencingTokenAt(kKilledMs));
+  // Earlier releases count seconds from the same day.
+  CHECK(FencingTokenAt(kKilledMs) >
+        uint64_t(kKilledMs - kFencingTokenEpochMs) / 1000);
+}
+
 TEST_CASE("tasks of a killed executor never run twice while stops get no reply")
 {
   // Guards against tasks kept alive by the executor that follows a killed one.
--- a/shell/daemon.cc
+++ b/shell/daemon.cc
@@ -92,6 +92,12 @@
   return g_get_real_time() / G_USEC_PER_SEC;
 }
 
+int64_t
+WallMilliseconds()
+{
+  return g_get_real_time() / (G_USEC_PER_SEC / 1000);
+}
+
 uint64_t
 MakeIncarnation()
 {
--- a/shell/daemon.h
+++ b/shell/daemon.h
@@ -26,6 +26,10 @@
 int64_t
 WallSeconds();
 
+// The same in milliseconds.
+int64_t
+WallMilliseconds();
+
 // Differs between any two starts of processes and is greater for later ones.
 uint64_t
 MakeIncarnation();
--- a/shell/executor_daemon.cc
+++ b/shell/executor_daemon.cc
@@ -9,10 +9,6 @@
 // How often the addresses of entries are read while none is connected.
 constexpr duration kReadEntriesInterval = milliseconds(2000);
 constexpr duration kReadEvacuationsInterval = milliseconds(1000);
-// 2025-01-01 in seconds since 1970. A fencing token must exceed that of the
-// previous process here. Seconds since this day do, unless the clock was set
-// back; then the backend server refuses the token.
-constexpr int64_t kFencingTokenEpoch = 1735689600;
 // Shorter than the shortest interval that the executor keeps, 25 ms.
 constexpr uint32_t kBusyTickMs = 20;
 // Without tasks, only timeouts of entries and the backend server have to be
@@ -26,14 +22,13 @@
   : instance_daemon(aSettings.mInstance, process_role::Guard, "")
   , mSettings(aSettings)
   , mAdapter(aAdapter)
-  , mExecutor(
-      uint64_t(std::max<int64_t>(1, WallSeconds() - kFencingTokenEpoch)),
-      aSettings.mService,
-      aSettings.mInstance.mDataCenter,
-      *this,
-      aAdapter.mRunner,
-      mLog,
-      aSettings.mInstance.mMechanisms)
+  , mExecutor(FencingTokenAt(WallMilliseconds()),
+              aSettings.mService,
+              aSettings.mInstance.mDataCenter,
+              *this,
+              aAdapter.mRunner,
+              mLog,
+              aSettings.mInstance.mMechanisms)
   // Each executor has its own partition, so that many that start at once do not
   // queue at a single one.
   , mServerRecord(aAdapter.mStore,
