--- a/shell/executor_daemon.cc
+++ b/shell/executor_daemon.cc
@@ -92,8 +92,7 @@
                        failure(error_code::BadRequest,
                                "announce",
                                "backend server",
-                               "service " + announcement.mServer.mService +
-                                 " is not served here"));
+                               "its service is not " + mSettings.mService));
     return;
   }
   StoreServerRecord();
