--- a/cactusmast/task_executor.cc
+++ b/cactusmast/task_executor.cc
@@ -525,11 +525,7 @@
 {
   std::vector<task_key> unstarted;
   std::vector<task_key> resends;
-  mHasOverdueOrphan = false;
   for (auto& [key, tracked] : mTasks) {
-    if (IsOverdueOrphan(tracked, aNow)) {
-      mHasOverdueOrphan = true;
-    }
     if (tracked.mState == task_state::Queued) {
       if (aNow >= tracked.mStartBy) {
         unstarted.push_back(key);
@@ -559,11 +555,25 @@
   }
 }
 
+void
+task_executor::CheckOrphans(instant aNow)
+{
+  bool overdue =
+    std::any_of(mTasks.begin(), mTasks.end(), [aNow](const auto& aTracked) {
+      return IsOverdueOrphan(aTracked.second, aNow);
+    });
+  if (overdue != mHasOverdueOrphan) {
+    mHasOverdueOrphan = overdue;
+    MarkChanged(); // no capacity is free while there is one
+  }
+}
+
 void
 task_executor::Tick(instant aNow)
 {
   CheckEntryTimeouts(aNow);
   ExpireTasks(aNow);
+  CheckOrphans(aNow);
   CheckRestored(aNow);
   CheckCold(aNow);
   CheckLeaseExpiry(aNow);
--- a/cactusmast/task_executor.h
+++ b/cactusmast/task_executor.h
@@ -326,6 +326,7 @@
   void DropRestored(const std::string& aReason, instant aNow);
   void CheckEntryTimeouts(instant aNow);
   void ExpireTasks(instant aNow);
+  void CheckOrphans(instant aNow);
   bool IsPollDue(instant aNow) const;
   void CheckServerTimeout(instant aNow);
   void CheckLeaseExpiry(instant aNow);
