--- a/cactusmast/testing/orphan_lease_test.cc
+++ b/cactusmast/testing/orphan_lease_test.cc
@@ -42,7 +42,10 @@
   world.mExecutor.OnEntryDown(1, world.mNow);
   world.AdvanceWithoutHeartbeat(kOrphanStopTime, { orphan });
   world.mExecutor.OnEntryUp(1, "entry", world.mNow);
-  world.Dispatch();
+  wire::start_tasks_msg other = world.MakeDispatch(1);
+  other.job = 8;
+  other.start_within_ms = 200;
+  world.mExecutor.OnStartTasks(1, other, world.mNow);
   size_t polls = world.mRunner.mPolls.size();
   world.AdvanceWithoutHeartbeat(milliseconds(30), { orphan });
   REQUIRE(world.mRunner.mPolls.size() > polls);
@@ -51,6 +54,7 @@
   world.mExecutor.OnStopReply(orphan.mTask, 1, true, world.mNow);
   world.AdvanceWithoutHeartbeat(milliseconds(30), {});
   CHECK(world.mRunner.mPolls.back().mLeaseUntilMs > 0);
+  CHECK(world.mRunner.mStarts.size() == 2);
 }
 
 TEST_CASE("the lease of an orphaned task expires before its entry places it")
