Review stand-ins: a stopped case ends its processes and removes its folder

Cause: a script that is ended from outside left the programs running. Change: signals end the case in the ordinary way. Result: no process left after SIGTERM in one try; cases 9 to 11 fail with and hold without the disruption, one run each way.

--- a/review/standins-3/lab.py
+++ b/review/standins-3/lab.py
@@ -11,6 +11,7 @@
 import os
 import random
 import re
+import shutil
 import signal
 import socket
 import sys
@@ -599,12 +600,17 @@
         for program in self.entries + self.executors:
             if program.process is not None and program.process.returncode is None:
                 program.process.kill()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def main(make_lab, scenario):
     """Exit codes: 1 the rule was broken, 0 it held, 2 the case couldn't run."""
     async def whole():
         lab = make_lab()
+        # Also a case that is stopped from outside ends what it started.
+        loop, this = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, this.cancel)
         try:
             await lab.begin()
             await asyncio.wait_for(scenario(lab), 100)
@@ -622,7 +628,7 @@
         return 1 if lab.broken else 0
     try:
         code = asyncio.run(whole())
-    except Exception as error:  # pylint: disable=broad-except
+    except (Exception, asyncio.CancelledError) as error:  # pylint: disable=broad-except
         print(f"the case could not run: {error!r}", file=sys.stderr)
         code = 2
     sys.exit(code)
