Log of stops that the backend server does not confirm

stop_unconfirmed (348) is logged 80 ms after the first stop request and then once in each lease time, with the cause of the stop, how long it has waited, what is left of the lease, and how many tasks share it. What stops tasks moves to a file of its own. No behaviour changes.

--- a/cactusmast/events.cc
+++ b/cactusmast/events.cc
@@ -167,6 +167,11 @@
       s::Warning,
       "dispatch_expired",
       "A dispatch was refused because it had been held up on its way." },
+    { e::StopUnconfirmed,
+      s::Warning,
+      "stop_unconfirmed",
+      "The backend server has not confirmed the stop of a task, which may "
+      "still run." },
     { e::JobAccepted, s::Info, "job_accepted", "A job was admitted." },
     { e::JobRefused, s::Info, "job_refused", "A submission was refused." },
     { e::JobDecided,
--- a/cactusmast/events.h
+++ b/cactusmast/events.h
@@ -61,6 +61,7 @@
   ServerSpeedChanged = 345,
   TaskStalled = 346,
   DispatchExpired = 347,
+  StopUnconfirmed = 348,
   JobAccepted = 400,
   JobRefused = 401,
   JobDecided = 402,
--- a/cactusmast/task_executor.cc
+++ b/cactusmast/task_executor.cc
@@ -78,7 +78,7 @@
     if (tracked.mState == task_state::Queued) {
       queued.push_back(key);
     } else {
-      BeginStop(tracked, attempt_outcome::Stopped, aNow);
+      BeginStop(tracked, stop_cause::EntryLost, attempt_outcome::Stopped, aNow);
       stopped++;
     }
   }
@@ -231,26 +231,6 @@
   mEntries[aEntry].mOpenTasks++;
 }
 
-void
-task_executor::OnStopTasks(peer_id aEntry,
-                           const wire::stop_tasks_msg& aRequest,
-                           instant aNow)
-{
-  for (uint32_t index : aRequest.indexes) {
-    task_key key{ aRequest.job, aRequest.step, index };
-    auto found = mTasks.find(key);
-    if (found == mTasks.end() || found->second.mEntry != aEntry) {
-      continue;
-    }
-    if (found->second.mState == task_state::Queued) {
-      End(key, attempt_outcome::NoRoom, aNow);
-    } else {
-      BeginStop(found->second, attempt_outcome::Stopped, aNow);
-    }
-  }
-  MarkChanged();
-}
-
 bool
 task_executor::OnAnnouncement(const server_announcement& aAnnouncement,
                               instant aNow)
@@ -418,14 +398,6 @@
          mClockKnown && !IsRestartSuspected();
 }
 
-bool
-task_executor::IsOverdueOrphan(const task& aTask, instant aNow)
-{
-  return aTask.mOrphanedAt.count() != 0 && aTask.mState != task_state::Queued &&
-         !aTask.mStopAcknowledged &&
-         aNow - aTask.mOrphanedAt >= kOrphanStopTime;
-}
-
 void
 task_executor::StartQueuedTasks(instant aNow)
 {
@@ -536,7 +508,7 @@
       resends.push_back(key);
     }
     if (aNow >= tracked.mStopBy) {
-      BeginStop(tracked, attempt_outcome::Stopped, aNow);
+      BeginStop(tracked, stop_cause::Deadline, attempt_outcome::Stopped, aNow);
     }
     if (tracked.mStopping && !tracked.mStopAcknowledged &&
         aNow >= tracked.mNextStop) {
@@ -555,19 +527,6 @@
   }
 }
 
-void
-task_executor::CheckOrphans(instant aNow)
-{
-  bool overdue =
-    std::any_of(mTasks.begin(), mTasks.end(), [aNow](const auto& aTracked) {
-      return IsOverdueOrphan(aTracked.second, aNow);
-    });
-  if (overdue != mHasOverdueOrphan) {
-    mHasOverdueOrphan = overdue;
-    MarkChanged(); // no capacity is free while there is one
-  }
-}
-
 void
 task_executor::Tick(instant aNow)
 {
--- a/cactusmast/task_executor.h
+++ b/cactusmast/task_executor.h
@@ -46,6 +46,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -103,6 +104,21 @@
   virtual void Close(peer_id aEntry) = 0;
 };
 
+// Why an executor stops a task that may be running.
+enum class stop_cause : uint8_t
+{
+  EntryOrder,
+  Deadline, // its caller no longer waits
+  Stalled,
+  StartInDoubt,
+  EntryLost,
+  Count
+};
+
+// The name used in logs.
+std::string_view
+Name(stop_cause aCause);
+
 class task_executor
 {
 public:
@@ -224,6 +240,9 @@
     bool mStopAcknowledged = false;
     instant mOrphanedAt{}; // when its entry disconnected; 0: it has not
     instant mNextStop{};   // when the stop request is sent again
+    stop_cause mStopCause = stop_cause::EntryOrder;
+    instant mStopBegunAt{};
+    instant mNextStopLog{}; // when its stop is next logged as unconfirmed
     attempt_outcome mStopOutcome = attempt_outcome::Stopped;
     uint32_t mRetries = 0;      // new starts after a refusal
     uint32_t mResends = 0;      // start requests that got no reply
@@ -270,7 +289,11 @@
   void StartQueuedTasks(instant aNow);
   void BeginStart(task& aTask, instant aNow);
   void SendStart(const task& aTask, instant aNow);
-  void BeginStop(task& aTask, attempt_outcome aOutcome, instant aNow);
+  void BeginStop(task& aTask,
+                 stop_cause aCause,
+                 attempt_outcome aOutcome,
+                 instant aNow);
+  void LogUnconfirmedStop(task& aTask, instant aNow);
   void SendStop(const task_key& aTask, uint32_t aRunNumber);
   void SendPoll(instant aNow);
   void OnDisconnected(instant aNow);
--- a/cactusmast/task_executor_stalls.cc
+++ b/cactusmast/task_executor_stalls.cc
@@ -37,7 +37,7 @@
                    { "percent", std::to_string(tracked.mPercent) },
                    { "without_progress_ms", std::to_string(ToMs(idle)) },
                    { "expected_ms", std::to_string(ToMs(expectedRun)) } });
-    BeginStop(tracked, attempt_outcome::Stopped, aNow);
+    BeginStop(tracked, stop_cause::Stalled, attempt_outcome::Stopped, aNow);
     quarantined = RecordFailure(aNow) || quarantined;
   }
   if (quarantined) {
--- a/cactusmast/task_executor_starts.cc
+++ b/cactusmast/task_executor_starts.cc
@@ -1,4 +1,4 @@
-// Start and stop requests to the backend server, and their replies.
+// Start requests to the backend server, and their replies.
 
 #include "cactusmast/task_executor.h"
 
@@ -87,7 +87,7 @@
     return;
   }
   aTask.mState = task_state::InDoubt;
-  BeginStop(aTask, attempt_outcome::Lost, aNow);
+  BeginStop(aTask, stop_cause::StartInDoubt, attempt_outcome::Lost, aNow);
 }
 
 void
@@ -188,42 +188,4 @@
   }
 }
 
-void
-task_executor::BeginStop(task& aTask, attempt_outcome aOutcome, instant aNow)
-{
-  if (aTask.mStopping) {
-    return;
-  }
-  aTask.mStopping = true;
-  aTask.mStopOutcome = aOutcome;
-  aTask.mNextStop = aNow + kStopRetryInterval;
-  SendStop(aTask.mKey, aTask.mRunNumber);
-}
-
-void
-task_executor::SendStop(const task_key& aTask, uint32_t aRunNumber)
-{
-  stop_request request;
-  request.mTask = aTask;
-  request.mRunNumber = aRunNumber;
-  request.mFencingToken = mFencingToken;
-  mRunner.Stop(request);
-}
-
-void
-task_executor::OnStopReply(const task_key& aTask,
-                           uint32_t aRunNumber,
-                           bool aAcknowledged,
-                           instant aNow)
-{
-  auto found = mTasks.find(aTask);
-  if (!aAcknowledged || found == mTasks.end() ||
-      found->second.mRunNumber != aRunNumber) {
-    return;
-  }
-  found->second.mStopAcknowledged = true;
-  found->second.mConfirmedAt = aNow;
-  mNextPoll = aNow;
-}
-
 } // namespace cactusmast
--- a/cactusmast/testing/orphan_lease_test.cc
+++ b/cactusmast/testing/orphan_lease_test.cc
@@ -57,6 +57,22 @@
   CHECK(world.mRunner.mStarts.size() == 2);
 }
 
+TEST_CASE("a stop without a reply is logged once in each lease time")
+{
+  // Guards against a task that runs on here for reasons that no log shows.
+  started_task world;
+  world.ReplyToStart(start_result::Started);
+  const running_task held{ { 7, 0, 0 }, 1, 50 };
+  wire::stop_tasks_msg stop;
+  stop.job = 7;
+  stop.indexes.push_back(0);
+  world.mExecutor.OnStopTasks(1, stop, world.mNow);
+  world.AdvanceWithoutHeartbeat(milliseconds(60), { held });
+  CHECK(world.mEvents.mCounts[event_code::StopUnconfirmed] == 0);
+  world.AdvanceWithoutHeartbeat(2 * kLeaseTime, { held });
+  CHECK(world.mEvents.mCounts[event_code::StopUnconfirmed] == 2);
+}
+
 TEST_CASE("the lease of an orphaned task expires before its entry places it")
 {
   // Guards against constants that no longer fit together.
