The lease is not extended while the stop of an ended job's task gets no reply

Cause: all tasks of a backend server share one lease, and each poll and start extends it. An executor let it expire only when the connection of a task's entry had closed. When a connected entry ended the job (504, a caller that left, a cancel) or the task's deadline passed at the executor, the lease went on, while the caller sends the job to another entry 1300 ms later.

Each task that is being stopped now has a time by which the stop is to be confirmed, if somebody places the task again without waiting for its end: 80 ms after its entry disconnected, as before, or 150 ms after its job ended. After that nothing starts and no lease is asked for until it is confirmed or everything there has ended. 550 ms for an end that is learned late, 150, the lease of 500 and its margin of 60 are 1,260 ms. stop_tasks carries when it was sent and whether the job is still open: a task that is moved to a faster backend server is placed again only when its end is known, and its stop does not end the others' lease.

--- a/cactusmast/job_coordinator.cc
+++ b/cactusmast/job_coordinator.cc
@@ -215,7 +215,7 @@
 }
 
 void
-job_coordinator::OnCallerDisconnected(caller_id aCaller)
+job_coordinator::OnCallerDisconnected(caller_id aCaller, instant aNow)
 {
   auto found = mCallerJobs.find(aCaller);
   if (found == mCallerJobs.end()) {
@@ -235,7 +235,7 @@
                { { "job", FormatJobId(id) },
                  { "reason", "its caller disconnected" },
                  { "left", std::to_string(open.mUnfinishedTasks) } });
-  StopTasks(open);
+  StopTasks(open, aNow);
   mDeadlines.erase({ open.mDeadline, id });
   mJobs.erase(id);
 }
@@ -252,7 +252,7 @@
 
 // Stops the placed tasks of a job and removes all its tasks from the queues.
 void
-job_coordinator::StopTasks(job& aJob)
+job_coordinator::StopTasks(job& aJob, instant aNow)
 {
   std::map<std::pair<peer_id, uint32_t>, std::vector<uint32_t>> stops;
   for (size_t s = 0; s < aJob.mTasks.size(); s++) {
@@ -276,6 +276,7 @@
     stop.job = aJob.mId;
     stop.step = target.second;
     stop.indexes = std::move(indexes);
+    stop.receiver_clock_ms = ExecutorClockMs(target.first, aNow);
     mLinks.SendStop(target.first, std::move(stop));
   }
 }
@@ -334,7 +335,7 @@
   (completed ? mCounters.mCompletedIn : mCounters.mOtherEndingsIn)
     .Observe(aNow - ended.mAcceptedAt);
   LogOutcome(ended, aOutcome, aNow);
-  StopTasks(ended);
+  StopTasks(ended, aNow);
   mDeadlines.erase({ ended.mDeadline, aJob });
   std::vector<caller_id> callers = std::move(ended.mCallers);
   mJobs.erase(aJob);
--- a/cactusmast/job_coordinator.h
+++ b/cactusmast/job_coordinator.h
@@ -150,7 +150,7 @@
 
   // Answers the caller once, during the call or later.
   void Submit(job_request aRequest, instant aNow);
-  void OnCallerDisconnected(caller_id aCaller);
+  void OnCallerDisconnected(caller_id aCaller, instant aNow);
   // Answers the job as failed. False if no such job is open here.
   bool Cancel(uint64_t aJob, instant aNow);
   // Answers all open jobs as refused or expired and stops their tasks. For a
@@ -442,7 +442,7 @@
                                instant aNow);
   void OnEnd(peer_id aPeer, const wire::task_end& aEnd, instant aNow);
   void Finish(uint64_t aJob, const job_outcome& aOutcome, instant aNow);
-  void StopTasks(job& aJob);
+  void StopTasks(job& aJob, instant aNow);
   void MarkOrphaned(const task_key& aKey, instant aUntil);
   void RequeueOrphan(const task_key& aKey);
   // Whether any task of the job was ever dispatched.
--- a/cactusmast/job_coordinator_executors.cc
+++ b/cactusmast/job_coordinator_executors.cc
@@ -255,6 +255,8 @@
   stop.job = key.mJob;
   stop.step = key.mStep;
   stop.indexes.push_back(key.mIndex);
+  stop.receiver_clock_ms = ExecutorClockMs(aPeer, aNow);
+  stop.job_open = true;
   mLinks.SendStop(aPeer, std::move(stop));
 }
 
--- a/cactusmast/task_executor.cc
+++ b/cactusmast/task_executor.cc
@@ -74,7 +74,7 @@
       continue;
     }
     tracked.mEntry = 0;
-    tracked.mOrphanedAt = aNow;
+    ConfirmStopBy(tracked, aNow + kOrphanStopTime);
     if (tracked.mState == task_state::Queued) {
       queued.push_back(key);
     } else {
@@ -102,11 +102,17 @@
   if (found == mEntries.end()) {
     return;
   }
-  instant sentAt = aReceiverClockMs == 0
-                     ? aNow
-                     : instant(milliseconds(int64_t(aReceiverClockMs)));
   instant& lastHeard = found->second.mLastHeard;
-  lastHeard = std::max(lastHeard, std::min(sentAt, aNow));
+  lastHeard = std::max(lastHeard, TimeOfSending(aReceiverClockMs, aNow));
+}
+
+instant
+task_executor::TimeOfSending(uint64_t aReceiverClockMs, instant aNow)
+{
+  bool known = aReceiverClockMs != 0;
+  return known
+           ? std::min(aNow, instant(milliseconds(int64_t(aReceiverClockMs))))
+           : aNow;
 }
 
 bool
@@ -509,6 +515,7 @@
     }
     if (aNow >= tracked.mStopBy) {
       BeginStop(tracked, stop_cause::Deadline, attempt_outcome::Stopped, aNow);
+      OnJobEnded(tracked, tracked.mStopBy, aNow);
     }
     if (tracked.mStopping && !tracked.mStopAcknowledged &&
         aNow >= tracked.mNextStop) {
@@ -532,7 +539,7 @@
 {
   CheckEntryTimeouts(aNow);
   ExpireTasks(aNow);
-  CheckOrphans(aNow);
+  CheckStops(aNow);
   CheckRestored(aNow);
   CheckCold(aNow);
   CheckLeaseExpiry(aNow);
--- a/cactusmast/task_executor.h
+++ b/cactusmast/task_executor.h
@@ -31,9 +31,9 @@
 //   have reached either incarnation. Whether its task runs is only taken from a
 //   poll that was sent after the start was confirmed.
 // - The lease at the backend server covers all that runs there. It is not
-//   extended while a task may run whose entry cannot be told of its end and
-//   places it elsewhere after a fixed time: one of an earlier executor process,
-//   or one whose entry has disconnected and whose stop is not confirmed.
+//   extended while a task may run that is placed elsewhere after a fixed time,
+//   whether or not its end is reported: one of an earlier executor process, or
+//   one whose stop is overdue (kOrphanStopTime, kEndedJobStopTime).
 // - From the loss of a connection to the backend server until the next poll
 //   reply, it may be another incarnation, with another clock and other numbers
 //   of ends. Until then nothing is started, no lease is extended and no end is
@@ -63,10 +63,14 @@
 
 // An entry with open tasks here sends a heartbeat every kHeartbeatInterval. If
 // nothing comes from it for kEntryTimeout, its tasks are stopped. Callers
-// resubmit a job 1300 ms after they lost its entry, which leaves time for the
-// stop. Three heartbeats may be late before the timeout.
+// resubmit a job kResubmitDelay after they lost its entry, which leaves time
+// for the stop. Three heartbeats may be late before the timeout.
 constexpr duration kHeartbeatInterval = milliseconds(150);
 constexpr duration kEntryTimeout = milliseconds(550);
+// How long after a failed answer, or the loss of a connection to an entry,
+// callers submit their job again, to any entry. Nothing of the earlier
+// submission may run by then.
+constexpr duration kResubmitDelay = milliseconds(1300);
 
 // How long tasks run on without their executor. Short enough that the tasks of
 // an executor that was killed have ended before entries may place them again;
@@ -204,6 +208,10 @@
   size_t SubscribedEntries() const;
   // Tasks stopped for want of progress since the start.
   uint64_t StalledTasks() const { return mStalledTasks; }
+  // Tasks whose stop is overdue. The lease is not extended while there are any.
+  size_t OverdueStops() const { return mOverdueStops; }
+  // Tasks that ended with the lease since the start.
+  uint64_t LapsedTasks() const { return mLapsedTasks; }
 
 private:
   enum class task_state : uint8_t
@@ -238,8 +246,10 @@
     bool mSlowReported = false;
     bool mStopping = false;
     bool mStopAcknowledged = false;
-    instant mOrphanedAt{}; // when its entry disconnected; 0: it has not
-    instant mNextStop{};   // when the stop request is sent again
+    // When its stop becomes overdue if it is not confirmed; 0: never, because
+    // nobody places it again before its end is reported.
+    instant mConfirmStopBy{};
+    instant mNextStop{}; // when the stop request is sent again
     stop_cause mStopCause = stop_cause::EntryOrder;
     instant mStopBegunAt{};
     instant mNextStopLog{}; // when its stop is next logged as unconfirmed
@@ -264,6 +274,9 @@
     server_state mReportedState = server_state::Absent;
   };
 
+  // When a message was sent, by this machine's clock. aReceiverClockMs: as in
+  // wire::start_tasks_msg.
+  static instant TimeOfSending(uint64_t aReceiverClockMs, instant aNow);
   // Whether nothing that its entry sent within kEntryTimeout has been read.
   static bool IsSilent(const entry_link& aEntry, instant aNow);
 
@@ -299,9 +312,13 @@
   void OnDisconnected(instant aNow);
   bool IsRestartSuspected() const { return mRestartSuspectedAt.count() != 0; }
   // Whether a task may run that only the expiry of the lease ends in time.
-  bool NeedsLeaseExpiry() const { return mHasStrays || mHasOverdueOrphan; }
-  // Whether the stop of a task whose entry has disconnected is overdue.
-  static bool IsOverdueOrphan(const task& aTask, instant aNow);
+  bool NeedsLeaseExpiry() const { return mHasStrays || mOverdueStops > 0; }
+  static bool IsStopOverdue(const task& aTask, instant aNow);
+  // The stop of aTask is to be confirmed by aBy, or earlier if that was said
+  // before.
+  static void ConfirmStopBy(task& aTask, instant aBy);
+  // The job of aTask has ended at aEndedAt.
+  static void OnJobEnded(task& aTask, instant aEndedAt, instant aNow);
   // How long the backend server may delay the reply to the next poll.
   milliseconds PollWait(instant aNow) const;
   // Sends a new start request after a refusal that it can avoid, or gives the
@@ -349,7 +366,7 @@
   void DropRestored(const std::string& aReason, instant aNow);
   void CheckEntryTimeouts(instant aNow);
   void ExpireTasks(instant aNow);
-  void CheckOrphans(instant aNow);
+  void CheckStops(instant aNow);
   bool IsPollDue(instant aNow) const;
   void CheckServerTimeout(instant aNow);
   void CheckLeaseExpiry(instant aNow);
@@ -412,7 +429,8 @@
   int64_t mServerStartTimeMs = 0; // names its incarnation; 0: not known
   bool mHasStrays = true;         // assumed until the first poll reply
   std::map<task_key, instant> mStrayStops; // when each is stopped again
-  bool mHasOverdueOrphan = false;          // as of the last Tick
+  size_t mOverdueStops = 0;                // as of the last Tick
+  uint64_t mLapsedTasks = 0;
 
   robust_slowness mSlowness;
   robust_slowness mColdSlowness; // while the backend server is cold
--- a/cactusmast/task_executor_limits.h
+++ b/cactusmast/task_executor_limits.h
@@ -38,6 +38,11 @@
 // the stop of one of its tasks is not confirmed. The lease then expires before
 // the entry places the task again. Two stop requests may get no reply.
 constexpr duration kOrphanStopTime = milliseconds(80);
+// From the end of a job at its entry until the lease is no longer extended if
+// the stop of one of its tasks is not confirmed. The lease then expires before
+// its caller may submit the job again, even if the stop is read kEntryTimeout
+// late. Three stop requests may get no reply.
+constexpr duration kEndedJobStopTime = milliseconds(150);
 // Between polls while stray tasks are being stopped, which takes up to 50 ms.
 constexpr duration kStrayPollInterval = milliseconds(10);
 // Maximum number of new starts of a task after refusals that the next request
--- a/cactusmast/task_executor_polls.cc
+++ b/cactusmast/task_executor_polls.cc
@@ -146,6 +146,9 @@
       case end_kind::Stopped:
         outcome = found->second.mStopOutcome;
         break;
+      case end_kind::LeaseExpired:
+        mLapsedTasks++;
+        break;
       default:
         break;
     }
--- a/cactusmast/task_executor_stops.cc
+++ b/cactusmast/task_executor_stops.cc
@@ -35,17 +35,21 @@
                            const wire::stop_tasks_msg& aRequest,
                            instant aNow)
 {
+  instant sentAt = TimeOfSending(aRequest.receiver_clock_ms, aNow);
   for (uint32_t index : aRequest.indexes) {
     task_key key{ aRequest.job, aRequest.step, index };
     auto found = mTasks.find(key);
     if (found == mTasks.end() || found->second.mEntry != aEntry) {
       continue;
     }
-    if (found->second.mState == task_state::Queued) {
+    task& tracked = found->second;
+    if (tracked.mState == task_state::Queued) {
       End(key, attempt_outcome::NoRoom, aNow);
-    } else {
-      BeginStop(
-        found->second, stop_cause::EntryOrder, attempt_outcome::Stopped, aNow);
+      continue;
+    }
+    BeginStop(tracked, stop_cause::EntryOrder, attempt_outcome::Stopped, aNow);
+    if (!aRequest.job_open) {
+      OnJobEnded(tracked, sentAt, aNow);
     }
   }
   MarkChanged();
@@ -95,27 +99,41 @@
   mNextPoll = aNow;
 }
 
+void
+task_executor::ConfirmStopBy(task& aTask, instant aBy)
+{
+  bool bounded = aTask.mConfirmStopBy.count() != 0;
+  aTask.mConfirmStopBy = bounded ? std::min(aTask.mConfirmStopBy, aBy) : aBy;
+}
+
+// Even if its end is learned of late, one stop request may get no reply.
+void
+task_executor::OnJobEnded(task& aTask, instant aEndedAt, instant aNow)
+{
+  ConfirmStopBy(
+    aTask, std::max(aEndedAt + kEndedJobStopTime, aNow + kStopRetryInterval));
+}
+
 bool
-task_executor::IsOverdueOrphan(const task& aTask, instant aNow)
+task_executor::IsStopOverdue(const task& aTask, instant aNow)
 {
-  return aTask.mOrphanedAt.count() != 0 && aTask.mState != task_state::Queued &&
-         !aTask.mStopAcknowledged &&
-         aNow - aTask.mOrphanedAt >= kOrphanStopTime;
+  return aTask.mConfirmStopBy.count() != 0 &&
+         aTask.mState != task_state::Queued && !aTask.mStopAcknowledged &&
+         aNow >= aTask.mConfirmStopBy;
 }
 
 void
-task_executor::CheckOrphans(instant aNow)
+task_executor::CheckStops(instant aNow)
 {
+  size_t overdue = 0;
   for (auto& [key, tracked] : mTasks) {
     LogUnconfirmedStop(tracked, aNow);
+    overdue += IsStopOverdue(tracked, aNow) ? 1 : 0;
   }
-  bool overdue =
-    std::any_of(mTasks.begin(), mTasks.end(), [aNow](const auto& aTracked) {
-      return IsOverdueOrphan(aTracked.second, aNow);
-    });
-  if (overdue != mHasOverdueOrphan) {
-    mHasOverdueOrphan = overdue;
-    MarkChanged(); // no capacity is free while there is one
+  bool neededExpiry = NeedsLeaseExpiry();
+  mOverdueStops = overdue;
+  if (NeedsLeaseExpiry() != neededExpiry) {
+    MarkChanged(); // no capacity is free while a stop is overdue
   }
 }
 
--- a/cactusmast/testing/fake_server.cc
+++ b/cactusmast/testing/fake_server.cc
@@ -42,6 +42,13 @@
          (mUnansweredOrders > 0 && mWorld.Uniform() < mUnansweredOrders);
 }
 
+bool
+fake_server::IsStopUnanswered()
+{
+  return IsOrderUnanswered() ||
+         (mUnansweredStops > 0 && mWorld.Uniform() < mUnansweredStops);
+}
+
 bool
 fake_server::IsRunning(const task_key& aTask) const
 {
@@ -133,7 +140,7 @@
       });
     });
   };
-  if (!IsOrderUnanswered()) {
+  if (!IsStopUnanswered()) {
     Execute(aRequest);
     reply(true);
     return;
--- a/cactusmast/testing/sized_world.h
+++ b/cactusmast/testing/sized_world.h
@@ -67,6 +67,8 @@
   double mUnansweredShare = 0;
   // The same of start and stop requests alone; polls get their replies.
   double mUnansweredOrders = 0;
+  // The same of stop requests alone.
+  double mUnansweredStops = 0;
   uint32_t mStarts = 0; // of tasks, in all incarnations
 
 private:
@@ -87,6 +89,7 @@
   void End(const task_key& aTask, end_kind aHow);
   bool IsUnanswered();
   bool IsOrderUnanswered();
+  bool IsStopUnanswered();
   void After(duration aDelay, std::function<void()> aDo);
 
   sized_world& mWorld;
@@ -165,6 +168,9 @@
   // From now on callers that resubmit a job wait only for what is left of their
   // timeout, and do not resubmit it when that has passed.
   void CountDownTimeouts() { mCountDownTimeouts = true; }
+  // From now on a job is resubmitted to another entry kResubmitDelay after it
+  // expired or its caller disconnected, once.
+  void ResubmitExpired() { mResubmitsExpired = true; }
   void Resubmit(uint64_t aJob, size_t aEntry);
   // Closes the connections of the callers that wait for the job.
   void DisconnectCaller(uint64_t aJob);
@@ -249,6 +255,7 @@
   void TimeOutLink(peer_id aLink);
   void SubmitTo(const job_request& aRequest, size_t aEntry);
   void OnAnswer(caller_id aCaller, const job_outcome& aOutcome);
+  void ResubmitLater(caller_id aCaller);
   bool IsCut(size_t aEntry, size_t aServer) const;
   double WorkFactor(const task_key& aTask) const;
   bool AreEntriesCut(size_t aEntry, size_t aOther) const;
@@ -287,7 +294,8 @@
   std::map<uint64_t, uint32_t> mDeadlines;
   std::map<uint64_t, instant> mFirstSentAt;
   bool mCountDownTimeouts = false;
-  double mLongShare = 0; // see SetLongTasks
+  bool mResubmitsExpired = false; // see ResubmitExpired
+  double mLongShare = 0;          // see SetLongTasks
   double mLongFactor = 1;
   uint32_t RemainingTimeoutMs(uint64_t aJob) const;
   std::map<task_key, std::set<size_t>> mRunningAt;
--- a/cactusmast/testing/sized_world_faults.cc
+++ b/cactusmast/testing/sized_world_faults.cc
@@ -5,7 +5,6 @@
 namespace cactusmast::testing {
 namespace {
 
-constexpr duration kResubmitDelay = milliseconds(1300);
 // Both sides close a connection over which nothing has come for this long.
 constexpr duration kLinkTimeout = milliseconds(3000);
 
--- a/shell/coordinator_forwarding.cc
+++ b/shell/coordinator_forwarding.cc
@@ -336,7 +336,7 @@
 void
 coordinator_daemon::OnCallerGone(caller_id aCaller)
 {
-  mCoordinator.OnCallerDisconnected(aCaller);
+  mCoordinator.OnCallerDisconnected(aCaller, Now());
   std::optional<forward_key> key = mSentJobs.OnCallerGone(aCaller);
   if (key) {
     SendForwardCancel(*key);
--- a/shell/executor_daemon.cc
+++ b/shell/executor_daemon.cc
@@ -335,6 +335,13 @@
   aPage->Counter("cactusmast_tasks_stalled",
                  "Running tasks stopped because they made no progress.",
                  double(mExecutor.StalledTasks()));
+  aPage->Gauge("cactusmast_stops_overdue",
+               "Tasks whose stop is not confirmed in time; while there are "
+               "any, nothing starts and the lease is left to expire.",
+               double(mExecutor.OverdueStops()));
+  aPage->Counter("cactusmast_tasks_lapsed",
+                 "Tasks that ended because the lease expired.",
+                 double(mExecutor.LapsedTasks()));
   aPage->Gauge("cactusmast_slowness",
                "Run time divided by its estimate.",
                mExecutor.Slowness());
