An executor notices that an entry is silent while it stops its last tasks

Callers would see a task run twice if their entry froze or was cut off while its executor was stopping the task by itself (stalled, too slow here) and the stop got no reply: the job comes again at another entry 1300 ms later, and the lease of the first run went on.

Cause: CheckEntryTimeouts left out tasks that are being stopped, so an entry with no others was never silent, and its tasks never became orphans with a bound for the stop. The entry does go on sending heartbeats for them, because it takes a task for open until its end is reported or its job has ended; only in the latter case may it fall silent, and then the stop has a bound from the end of the job.

The test failed before: no connection closed, and a lease asked for 650 ms after the last heartbeat.

--- a/cactusmast/task_executor.cc
+++ b/cactusmast/task_executor.cc
@@ -479,10 +479,12 @@
 void
 task_executor::CheckEntryTimeouts(instant aNow)
 {
-  // An entry without open tasks here need not send anything.
+  // An entry without open tasks here need not send anything. A task that is
+  // being stopped is open there too unless its job has ended.
   std::set<peer_id> timedOut;
   for (const auto& [key, tracked] : mTasks) {
-    bool needsEntry = tracked.mEntry != 0 && !tracked.mStopping;
+    bool jobEnded = tracked.mConfirmStopBy.count() != 0;
+    bool needsEntry = tracked.mEntry != 0 && !jobEnded;
     if (needsEntry && IsSilent(mEntries.at(tracked.mEntry), aNow)) {
       timedOut.insert(tracked.mEntry);
     }
--- a/cactusmast/testing/orphan_lease_test.cc
+++ b/cactusmast/testing/orphan_lease_test.cc
@@ -157,6 +157,20 @@
   CHECK(world.LastLease() == 0);
 }
 
+TEST_CASE(
+  "the tasks of an entry that falls silent while the executor stops them "
+  "are orphans")
+{
+  // Guards against a lease that is extended for a stalled or slow task without
+  // end, while its caller submits the job again because its entry was lost.
+  held_task world;
+  world.Stop(true, world.mNow); // as for a stalled task: the entry waits
+  world.AdvanceWithoutHeartbeat(
+    kEntryTimeout + kOrphanStopTime + milliseconds(20), { kHeld });
+  CHECK(world.mLinks.mClosedLinks == 1);
+  CHECK(world.LastLease() == 0);
+}
+
 TEST_CASE("a stop without a reply is logged once in each lease time")
 {
   // Guards against a task that runs on here for reasons that no log shows.
