Orders reach only the incarnation of a backend server that they were decided for

Cause: the id by which a start names its target is the same for all incarnations, and the HTTP client sends what waits over whatever connection it gets next. What was decided for the former incarnation, with a lease by its clock, went to the next one.

Fix: a connection does not outlive the process at its other end. Starts, and polls that extend the lease or acknowledge ends, name the incarnation that they are for and are written only to a connection over which it has named itself. Queue, age, requests taken back and probes are metrics; start_not_made names the incarnation and the age.

--- a/cactusmast/backend_runner.cc
+++ b/cactusmast/backend_runner.cc
@@ -8,7 +8,7 @@
 constexpr std::array<std::string_view, size_t(start_result::Count)>
   kStartResults = { "started",     "lease_over", "no_room",    "old_run",
                     "fenced_off",  "unhealthy",  "other_boot", "malformed",
-                    "unreachable", "no_answer" };
+                    "unreachable", "not_sent",   "no_answer" };
 
 } // namespace
 
--- a/cactusmast/backend_runner.h
+++ b/cactusmast/backend_runner.h
@@ -14,6 +14,7 @@
 #include <string_view>
 #include <vector>
 
+#include "cactusmast/ids.h"
 #include "cactusmast/sized_task.h"
 
 namespace cactusmast {
@@ -25,6 +26,8 @@
   std::string mSpec;
   int64_t mLeaseUntilMs = 0;  // on the backend server's clock
   uint64_t mFencingToken = 0; // lower ones are refused from then on
+  // The incarnation that it is for, and that alone may get it; 0: any.
+  int64_t mServerStartTimeMs = 0;
 };
 
 struct stop_request
@@ -42,6 +45,9 @@
   uint64_t mLastEndSeen = 0; // ends up to this number are not listed again
   // The reply is delayed until a task ends, by this much at most.
   uint32_t mWaitMs = 0;
+  // The incarnation whose lease it extends and whose ends it acknowledges;
+  // another one may get the poll without these. 0: any.
+  int64_t mServerStartTimeMs = 0;
 };
 
 enum class start_result : uint8_t
@@ -55,6 +61,7 @@
   OtherIncarnation, // another incarnation replied; it did nothing
   Malformed,        // the request can never be carried out
   Unreachable,      // no connection was made, so nothing was sent
+  NotSent,          // taken back: no connection led to its incarnation in time
   NoAnswer,         // in doubt: may be carried out now or seconds later
   Count
 };
@@ -125,10 +132,20 @@
   std::vector<std::string> mLabels;
 };
 
+// Requests that wait for a connection to the backend server.
+struct runner_load
+{
+  size_t mWaiting = 0;
+  duration mOldest{};    // how long the oldest has waited
+  uint64_t mNotSent = 0; // taken back since the start
+  uint64_t mProbes = 0;  // to find a connection, since the start
+};
+
 class backend_runner
 {
 public:
   virtual ~backend_runner() = default;
+  virtual runner_load Load(instant /*aNow*/) const { return {}; }
   // Each request gets exactly one reply, through the executor's OnStartReply,
   // OnStopReply or OnPollReply.
   virtual void Start(const start_request& aRequest) = 0;
--- a/cactusmast/task_executor.h
+++ b/cactusmast/task_executor.h
@@ -237,6 +237,8 @@
     instant mStartBy{};     // if queued until then, it is returned
     instant mStopBy{};      // if running then, it is stopped
     instant mStartSentAt{}; // 0: not started
+    // The incarnation for which the last start request was made; 0: not known.
+    int64_t mServerStartTimeMs = 0;
     instant mConfirmedAt{}; // when its start or stop was last confirmed, by a
                             // reply or a list of running tasks; 0: never
     bool mSeenRunning = false; // listed by some poll reply
@@ -301,7 +303,7 @@
   void OnEvacuationsChanged(bool aWasEvacuated, instant aNow);
   void StartQueuedTasks(instant aNow);
   void BeginStart(task& aTask, instant aNow);
-  void SendStart(const task& aTask, instant aNow);
+  void SendStart(task& aTask, instant aNow);
   void BeginStop(task& aTask,
                  stop_cause aCause,
                  attempt_outcome aOutcome,
--- a/cactusmast/task_executor_polls.cc
+++ b/cactusmast/task_executor_polls.cc
@@ -47,6 +47,7 @@
   poll_request request;
   request.mNumber = ++mLastPollNumber;
   request.mFencingToken = mFencingToken;
+  request.mServerStartTimeMs = mServerStartTimeMs;
   // Another incarnation would drop ends of its own up to this number.
   request.mLastEndSeen = IsRestartSuspected() ? 0 : mLastEndSeen;
   // The lease of a backend server that has timed out is not extended, so that
--- a/cactusmast/task_executor_starts.cc
+++ b/cactusmast/task_executor_starts.cc
@@ -40,7 +40,7 @@
 }
 
 void
-task_executor::SendStart(const task& aTask, instant aNow)
+task_executor::SendStart(task& aTask, instant aNow)
 {
   start_request request;
   request.mTask = aTask.mKey;
@@ -56,6 +56,8 @@
       std::min(request.mLeaseUntilMs, ToMs(until) + mClockOffsetMs);
   }
   request.mFencingToken = mFencingToken;
+  aTask.mServerStartTimeMs = mServerStartTimeMs;
+  request.mServerStartTimeMs = mServerStartTimeMs;
   mRunner.Start(request);
 }
 
@@ -114,11 +116,14 @@
   }
   task& tracked = found->second;
   if (aResult != start_result::Started) {
-    mEvents.Emit(event_code::StartNotMade,
-                 { { "task", FormatTask(aTask) },
-                   { "run", std::to_string(aRunNumber) },
-                   { "result", std::string(Name(aResult)) },
-                   { "unanswered_before", std::to_string(tracked.mResends) } });
+    mEvents.Emit(
+      event_code::StartNotMade,
+      { { "task", FormatTask(aTask) },
+        { "run", std::to_string(aRunNumber) },
+        { "result", std::string(Name(aResult)) },
+        { "unanswered_before", std::to_string(tracked.mResends) },
+        { "server_start_ms", std::to_string(tracked.mServerStartTimeMs) },
+        { "age_ms", std::to_string(ToMs(aNow - tracked.mStartSentAt)) } });
   }
   switch (aResult) {
     case start_result::Started:
@@ -143,6 +148,9 @@
       mFencingToken += kFencingTokenStep;
       RetryStart(tracked, aNow);
       return;
+    case start_result::NotSent:
+      GiveUpStart(tracked, attempt_outcome::Unusable, aNow);
+      return;
     case start_result::NoRoom:
       GiveUpStart(tracked, attempt_outcome::NoRoom, aNow);
       return;
--- a/cactusmast/testing/fake_server.cc
+++ b/cactusmast/testing/fake_server.cc
@@ -42,6 +42,12 @@
          (mUnansweredOrders > 0 && mWorld.Uniform() < mUnansweredOrders);
 }
 
+bool
+fake_server::IsForOther(int64_t aStartTimeMs) const
+{
+  return aStartTimeMs != 0 && aStartTimeMs != mStartTimeMs;
+}
+
 bool
 fake_server::IsStopUnanswered()
 {
@@ -102,6 +108,10 @@
       });
     });
   };
+  if (!mDown && IsForOther(aRequest.mServerStartTimeMs)) {
+    reply(start_result::NotSent);
+    return;
+  }
   if (!IsOrderUnanswered()) {
     reply(Execute(aRequest));
     return;
@@ -173,36 +183,42 @@
 }
 
 void
-fake_server::Poll(const poll_request& aRequest)
+fake_server::Poll(const poll_request& aPoll)
 {
-  auto reply = [this, aRequest](poll_result aResult,
-                                const server_snapshot& aSnapshot) {
-    After(kMessageDelay, [this, aRequest, aResult, aSnapshot] {
-      mWorld.Deliver(true, mIndex, [this, aRequest, aResult, aSnapshot] {
+  poll_request request = aPoll;
+  if (IsForOther(aPoll.mServerStartTimeMs)) {
+    request.mLeaseUntilMs = 0;
+    request.mLastEndSeen = 0;
+    request.mWaitMs = 0;
+  }
+  auto reply = [this, request](poll_result aResult,
+                               const server_snapshot& aSnapshot) {
+    After(kMessageDelay, [this, request, aResult, aSnapshot] {
+      mWorld.Deliver(true, mIndex, [this, request, aResult, aSnapshot] {
         mWorld.Executor(mIndex).OnPollReply(
-          aRequest.mNumber, aResult, aSnapshot, mWorld.Now());
+          request.mNumber, aResult, aSnapshot, mWorld.Now());
       });
     });
   };
   if (IsUnanswered()) {
-    After(milliseconds(aRequest.mWaitMs) + kRequestTimeout,
+    After(milliseconds(request.mWaitMs) + kRequestTimeout,
           [reply] { reply(poll_result::NoAnswer, {}); });
     return;
   }
-  server_snapshot firstSnapshot = Execute(aRequest);
-  if (!firstSnapshot.mEnded.empty() || aRequest.mWaitMs == 0) {
+  server_snapshot firstSnapshot = Execute(request);
+  if (!firstSnapshot.mEnded.empty() || request.mWaitMs == 0) {
     reply(poll_result::Ok, firstSnapshot);
     return;
   }
   // The reply is sent at the next end or after the wait, whichever comes first.
-  uint64_t number = aRequest.mNumber;
-  auto finish = [this, aRequest, reply] {
+  uint64_t number = request.mNumber;
+  auto finish = [this, request, reply] {
     if (!mDown) {
-      reply(poll_result::Ok, Execute(aRequest));
+      reply(poll_result::Ok, Execute(request));
     }
   };
   mWaitingPolls.emplace_back(number, finish);
-  After(milliseconds(aRequest.mWaitMs), [this, number] {
+  After(milliseconds(request.mWaitMs), [this, number] {
     for (auto at = mWaitingPolls.begin(); at != mWaitingPolls.end(); ++at) {
       if (at->first == number) {
         auto run = at->second;
--- a/cactusmast/testing/sized_world.h
+++ b/cactusmast/testing/sized_world.h
@@ -90,6 +90,8 @@
   bool IsUnanswered();
   bool IsOrderUnanswered();
   bool IsStopUnanswered();
+  // Whether a request is for another incarnation: no connection leads there.
+  bool IsForOther(int64_t aStartTimeMs) const;
   void After(duration aDelay, std::function<void()> aDo);
 
   sized_world& mWorld;
--- a/cactusmast/testing/task_executor_restart_test.cc
+++ b/cactusmast/testing/task_executor_restart_test.cc
@@ -299,4 +299,37 @@
   CHECK(world.mEvents.mCounts[event_code::BackendReborn] == 1);
 }
 
+TEST_CASE("starts and polls name the incarnation that they are for")
+{
+  // Guards against an order that reaches the next one under the same id.
+  started_task world;
+  CHECK(world.mRunner.mStarts.back().mServerStartTimeMs == world.mStartTimeMs);
+  CHECK(world.mRunner.mPolls.back().mServerStartTimeMs == world.mStartTimeMs);
+}
+
+TEST_CASE("a start that was taken back is placed again, not stopped")
+{
+  // Guards against a task that waits for the reply to a stop although it was
+  // never sent, and against a sound backend server in quarantine.
+  for (int i = 0; i < 4; i++) {
+    started_task world;
+    world.ReplyToStart(start_result::NotSent);
+    REQUIRE(world.mLinks.mOutcomes.size() == 1);
+    CHECK(world.mLinks.mOutcomes[0] == attempt_outcome::Unusable);
+    CHECK(world.mRunner.mStops.empty());
+    CHECK(world.mExecutor.State(world.mNow) == server_state::Ready);
+  }
+}
+
+TEST_CASE("a start that was taken back after one without a reply is in doubt")
+{
+  // Guards against a task that is placed again while its first start may still
+  // be carried out.
+  started_task world;
+  world.ReplyToStart(start_result::NoAnswer);
+  world.ReplyToStart(start_result::NotSent);
+  CHECK(world.mLinks.mOutcomes.empty());
+  CHECK(!world.mRunner.mStops.empty());
+}
+
 } // namespace cactusmast::testing
--- a/shell/executor_daemon.cc
+++ b/shell/executor_daemon.cc
@@ -1,6 +1,7 @@
 #include "shell/executor_daemon.h"
 
 #include "cactusmast/server_record.h"
+#include "cactusmast/time_spans.h"
 
 namespace cactusmast {
 namespace {
@@ -335,6 +336,21 @@
   aPage->Counter("cactusmast_tasks_stalled",
                  "Running tasks stopped because they made no progress.",
                  double(mExecutor.StalledTasks()));
+  runner_load load = mAdapter.mRunner.Load(Now());
+  aPage->Gauge("cactusmast_runner_requests_waiting",
+               "Requests that wait for a connection to the backend server.",
+               double(load.mWaiting));
+  aPage->Gauge("cactusmast_runner_oldest_waiting_ms",
+               "How long the oldest of them has waited.",
+               double(ToMs(load.mOldest)));
+  aPage->Counter("cactusmast_runner_requests_not_sent",
+                 "Requests taken back because no connection led to the "
+                 "incarnation of the backend server that they were for.",
+                 double(load.mNotSent));
+  aPage->Counter("cactusmast_runner_probes",
+                 "Polls that only find out to which incarnation of the backend "
+                 "server a connection leads.",
+                 double(load.mProbes));
   aPage->Gauge("cactusmast_stops_overdue",
                "Tasks whose stop is not confirmed in time; while there are "
                "any, nothing starts and the lease is left to expire.",
--- a/shell/http_client.cc
+++ b/shell/http_client.cc
@@ -16,8 +16,10 @@
   http_client::callback mCallback;
   gobject_ptr<SoupMessage> mMessage;
   gobject_ptr<GCancellable> mCancellable;
-  guint mTimer = 0;          // source id; 0 without a timeout
-  bool mSendStarted = false; // whether sending has begun at least once
+  guint mTimer = 0;                 // source id; 0 without a timeout
+  bool mSendStarted = false;        // whether sending has begun at least once
+  uint64_t mRequiredConnection = 0; // 0: any
+  uint64_t mConnection = 0;         // over which sending would have begun last
   // The following are used by requests with http_request::mBodyStallMs.
   uint32_t mBodyStallMs = 0;
   gobject_ptr<GInputStream> mBodyStream;
@@ -63,9 +65,17 @@
   return response;
 }
 
+// Called before the first byte is written.
 void
 OnStarting(pending_request* aPending)
 {
+  aPending->mConnection =
+    soup_message_get_connection_id(aPending->mMessage.get());
+  uint64_t required = aPending->mRequiredConnection;
+  if (required != 0 && aPending->mConnection != required) {
+    g_cancellable_cancel(aPending->mCancellable.get());
+    return;
+  }
   aPending->mSendStarted = true;
 }
 
@@ -103,8 +113,15 @@
   std::unique_ptr<pending_request> pending(aPending);
   StopTimer(aPending);
   g_signal_handlers_disconnect_by_data(pending->mMessage.get(), aPending);
-  pending->mCallback(ReadResponse(
-    pending->mMessage.get(), std::move(aBody), aError, pending->mSendStarted));
+  http_response response = ReadResponse(
+    pending->mMessage.get(), std::move(aBody), aError, pending->mSendStarted);
+  response.mConnection = pending->mConnection;
+  bool otherConnection = pending->mRequiredConnection != 0 &&
+                         pending->mConnection != pending->mRequiredConnection;
+  if (otherConnection && !pending->mSendStarted) {
+    response.mFault = http_fault::Unsent;
+  }
+  pending->mCallback(response);
 }
 
 void
@@ -236,6 +253,7 @@
   gobject_ptr<GCancellable> handle(
     G_CANCELLABLE(g_object_ref(pending->mCancellable.get())));
   pending->mBodyStallMs = aRequest.mBodyStallMs;
+  pending->mRequiredConnection = aRequest.mConnection;
   StartTimer(pending.get(),
              aRequest.mTimeoutMs > 0 ? aRequest.mTimeoutMs : mTimeoutMs);
   SoupMessage* message = pending->mMessage.get();
--- a/shell/http_client.h
+++ b/shell/http_client.h
@@ -20,6 +20,7 @@
   Refused,   // no connection was established, so nothing was sent
   Broken,    // some or all of it may have been sent; no response
   Cancelled, // by the caller or by the timeout
+  Unsent,    // it would have used another connection than that required
   Count
 };
 
@@ -39,6 +40,9 @@
   // If not 0, the timeout ends with the headers of the response, and its body
   // may take any time as long as some of it arrives within each mBodyStallMs.
   uint32_t mBodyStallMs = 0;
+  // If not 0, it is sent over this connection, as named by an earlier response,
+  // or not at all.
+  uint64_t mConnection = 0;
 };
 
 struct http_response
@@ -48,6 +52,8 @@
   std::string mBody;      // empty after a fault
   std::string mFaultText; // empty without a fault
   std::string mRunHeader; // value of X-Run; empty when absent
+  // Names the connection among all of this client; 0: none was established.
+  uint64_t mConnection = 0;
 };
 
 // Sends requests asynchronously and reuses connections.
--- a/shell/testing/http_client_test.cc
+++ b/shell/testing/http_client_test.cc
@@ -115,9 +115,11 @@
 SendTo(const raw_server& aServer,
        http_client& aClient,
        const std::string& aMethod,
-       bool aIdempotent)
+       bool aIdempotent,
+       uint64_t aConnection = 0)
 {
   http_request request;
+  request.mConnection = aConnection;
   request.mMethod = aMethod;
   request.mUrl = aServer.Url();
   request.mBody = aMethod == "POST" ? "{}" : "";
@@ -188,4 +190,33 @@
   CHECK(answer.mBody.empty());
 }
 
+TEST_CASE("a request that requires a connection is sent over that one only")
+{
+  // Guards against an order that reaches the next incarnation of its server.
+  raw_server server(
+    { reaction::Answer, reaction::AnswerAndClose, reaction::Answer });
+  http_client client(1, 2000);
+  uint64_t connection = SendTo(server, client, "POST", true).mConnection;
+  REQUIRE(connection != 0);
+  http_response same = SendTo(server, client, "POST", true, connection);
+  CHECK(same.mStatus == 200);
+  CHECK(same.mConnection == connection);
+  http_response unsent = SendTo(server, client, "POST", true, connection);
+  CHECK(unsent.mFault == http_fault::Unsent);
+  CHECK(server.Requests() == 2);
+  CHECK(SendTo(server, client, "POST", true).mStatus == 200);
+}
+
+TEST_CASE("a request that was sent over its connection is not taken for unsent")
+{
+  // Guards against an order that is decided anew although it was carried out.
+  raw_server server({ reaction::Answer, reaction::Close, reaction::Answer });
+  http_client client(1, 2000);
+  uint64_t connection = SendTo(server, client, "POST", true).mConnection;
+  http_response broken = SendTo(server, client, "POST", true, connection);
+  CHECK(broken.mFault != http_fault::Unsent);
+  CHECK(broken.mFault != http_fault::Refused);
+  CHECK(server.Requests() == 2);
+}
+
 } // namespace cactusmast::testing
