What entries rely on for orphaned tasks is a sum of named bounds

kMaxOrphanLifetime was the entry timeout and 100 ms, whose parts stood in a comment (50 ms for a stop) or nowhere. It is now the greater of two sums: the timeout, a stop and a late turn of the loop; or the overdue stop, the lease and its margin. The value stays 650 ms, and a test fails if a part changes without it. No behaviour changes.

--- a/cactusmast/job_coordinator.h
+++ b/cactusmast/job_coordinator.h
@@ -23,6 +23,7 @@
 #ifndef CACTUSMAST_JOB_COORDINATOR_H_
 #define CACTUSMAST_JOB_COORDINATOR_H_
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <set>
@@ -47,10 +48,12 @@
 namespace cactusmast {
 
 // How long tasks may run on after the connection they were dispatched over is
-// lost: until the executor detects the loss (kEntryTimeout) or, if the executor
-// was lost, until the lease at the backend server expires, and then until they
-// are stopped, which takes up to 50 ms.
-constexpr duration kMaxOrphanLifetime = kEntryTimeout + milliseconds(100);
+// lost: until the executor detects the loss and has stopped them; or, if they
+// cannot be stopped or the executor was lost, until the lease at the backend
+// server expires.
+constexpr duration kMaxOrphanLifetime =
+  std::max<duration>(kEntryTimeout + kMaxStopTime + kMaxLoopDelay,
+                     kOrphanStopTime + kLeaseTime + kLeaseMargin);
 // An executor with tasks of this entry reports every 150 ms, and a new
 // subscription is answered by a report at once. An executor whose report is due
 // for longer than this is taken to be lost.
--- a/cactusmast/task_executor.h
+++ b/cactusmast/task_executor.h
@@ -89,6 +89,14 @@
 // Covers a backend server's clock that is 2% slow, and the time that a request
 // takes to arrive.
 constexpr milliseconds kLeaseMargin = milliseconds(60);
+// How long a backend server takes to stop a task, at most.
+constexpr milliseconds kMaxStopTime = milliseconds(50);
+// How late a turn of a process's loop may be, by its timer and other work.
+constexpr milliseconds kMaxLoopDelay = milliseconds(50);
+// From the disconnection of an entry until the lease is no longer extended if
+// the stop of one of its tasks is not confirmed. The lease then expires before
+// the entry places the task again. Two stop requests may get no reply.
+constexpr duration kOrphanStopTime = milliseconds(80);
 
 // The fencing token of an executor that starts at aWallMs, in milliseconds
 // since 1970. It exceeds that of any executor of the same backend server that
--- a/cactusmast/task_executor_limits.h
+++ b/cactusmast/task_executor_limits.h
@@ -34,10 +34,6 @@
 // that the task is started at most once, whenever the first request is carried
 // out.
 constexpr uint32_t kMaxStartResends = 5;
-// From the disconnection of an entry until the lease is no longer extended if
-// the stop of one of its tasks is not confirmed. The lease then expires before
-// the entry places the task again. Two stop requests may get no reply.
-constexpr duration kOrphanStopTime = milliseconds(80);
 // From the end of a job at its entry until the lease is no longer extended if
 // the stop of one of its tasks is not confirmed. The lease then expires before
 // its caller may submit the job again, even if the stop is read kEntryTimeout
--- a/cactusmast/testing/orphan_lease_test.cc
+++ b/cactusmast/testing/orphan_lease_test.cc
@@ -186,6 +186,8 @@
 {
   // Guards against constants that no longer fit together.
   CHECK(kOrphanStopTime + kLeaseTime + kLeaseMargin <= kMaxOrphanLifetime);
+  CHECK(kEntryTimeout + kMaxStopTime <= kMaxOrphanLifetime);
+  CHECK(kMaxOrphanLifetime == milliseconds(650)); // as in the design pages
 }
 
 TEST_CASE("the lease of an ended job's task expires before its caller submits "
