A backend server that names no incarnation is not probed without pause

Nobody would see it but in the processor time of the executor.

Cause: free channels were probed after each response. They now are when a request is sent, when a connection turns out to be closed, and each 5 ms while something waits; a request for an earlier incarnation than one that was seen is ended instead.

--- a/shell/incarnation_channels.cc
+++ b/shell/incarnation_channels.cc
@@ -47,6 +47,7 @@
                                         std::move(aCallback),
                                         Now() });
   SendWaiting();
+  ProbeForWaiting();
 }
 
 bool
@@ -95,7 +96,6 @@
       SendOver(chosen, std::move(next));
     }
   }
-  ProbeForWaiting();
   ArmTimer();
 }
 
@@ -129,6 +129,7 @@
   if (waitsOn) {
     // The server has closed the connection, perhaps only because it was idle.
     mQueues[size_t(aRequest.mUrgency)].push_front(std::move(aRequest));
+    ProbeForWaiting();
   } else {
     mUnsent += aResponse.mFault == http_fault::Unsent ? 1 : 0;
     aRequest.mCallback(aResponse);
@@ -154,21 +155,26 @@
   }
   aChannel->mConnection = aResponse.mConnection;
   aChannel->mIncarnation = named;
+  mNewest = std::max(mNewest, named);
   EndWaiting(
-    [named](const waiting_request& aWaiting) {
-      return aWaiting.mIncarnation != 0 && aWaiting.mIncarnation < named;
-    },
+    [this](const waiting_request& aWaiting) { return IsOutdated(aWaiting); },
     http_fault::Unsent);
 }
 
+bool
+incarnation_channels::IsOutdated(const waiting_request& aRequest) const
+{
+  return aRequest.mIncarnation != 0 && aRequest.mIncarnation < mNewest;
+}
+
 void
 incarnation_channels::ProbeForWaiting()
 {
   size_t needed = 0;
   for (const request_queue& queue : mQueues) {
     needed += size_t(
-      std::count_if(queue.begin(), queue.end(), [](const auto& aWaiting) {
-        return aWaiting.mIncarnation != 0;
+      std::count_if(queue.begin(), queue.end(), [this](const auto& aWaiting) {
+        return aWaiting.mIncarnation != 0 && !IsOutdated(aWaiting);
       }));
   }
   size_t probing = 0;
@@ -275,11 +281,12 @@
   self->mTimer = 0;
   instant oldest = Now() - milliseconds(self->mTimeoutMs);
   self->EndWaiting(
-    [oldest](const waiting_request& aWaiting) {
-      return aWaiting.mSince <= oldest;
+    [self, oldest](const waiting_request& aWaiting) {
+      return aWaiting.mSince <= oldest || self->IsOutdated(aWaiting);
     },
     http_fault::Unsent);
   self->SendWaiting();
+  self->ProbeForWaiting();
   return G_SOURCE_REMOVE;
 }
 
