A heartbeat of a new incarnation is followed by a poll at once

Cause: the restart asks for a poll at once, but the next poll waits while one is under way, and the one under way was taken along by the former incarnation. The poll under way now counts as timed out. The test failed before: no poll, until the former one's wait and 10 ms were over.

--- a/cactusmast/task_executor_polls.cc
+++ b/cactusmast/task_executor_polls.cc
@@ -274,7 +274,10 @@
                { { "server", mServer.mId },
                  { "unsettled", std::to_string(Running()) },
                  { "queued", std::to_string(queued) } });
-  mNextPoll = aNow; // shows which of the tasks run on the new incarnation
+  // The next poll shows which of the tasks run on the new incarnation. One that
+  // is under way may have ended with the former one.
+  mNextPoll = aNow;
+  mPollTimeoutAt = aNow;
   mFailuresInRow = 0;
   mQuarantinedUntil = instant(0);
   mSlowness = robust_slowness(IgnoresOutliers());
--- a/cactusmast/testing/task_executor_restart_test.cc
+++ b/cactusmast/testing/task_executor_restart_test.cc
@@ -332,4 +332,19 @@
   CHECK(!world.mRunner.mStops.empty());
 }
 
+TEST_CASE("a heartbeat of a new incarnation is followed by a poll at once")
+{
+  // Guards against a restarted backend server that gets no work until a poll
+  // that its former incarnation has taken along is given up.
+  started_task world;
+  world.ReplyToStart(start_result::Started);
+  world.Advance(milliseconds(10));
+  size_t polls = world.mRunner.mPolls.size();
+  world.mStartTimeMs++;
+  world.Announce(0);
+  world.mExecutor.Tick(world.mNow);
+  CHECK(world.mRunner.mPolls.size() == polls + 1);
+  CHECK(world.mRunner.mPolls.back().mLeaseUntilMs == 0);
+}
+
 } // namespace cactusmast::testing
