An incarnation that began earlier by its clock gets its starts

Found by reading: requests for an earlier incarnation than the newest one seen were not probed for and were taken back within 5 ms. A backend server whose clock was set back before it restarted is such a one for ever, and got starts only over connections that polls happened to have made known. The order of start times now only ends what waits at the moment when a later one is seen; the rest waits 30 ms as before, with probes each 5 ms.

--- a/shell/incarnation_channels.cc
+++ b/shell/incarnation_channels.cc
@@ -155,26 +155,21 @@
   }
   aChannel->mConnection = aResponse.mConnection;
   aChannel->mIncarnation = named;
-  mNewest = std::max(mNewest, named);
   EndWaiting(
-    [this](const waiting_request& aWaiting) { return IsOutdated(aWaiting); },
+    [named](const waiting_request& aWaiting) {
+      return aWaiting.mIncarnation != 0 && aWaiting.mIncarnation < named;
+    },
     http_fault::Unsent);
 }
 
-bool
-incarnation_channels::IsOutdated(const waiting_request& aRequest) const
-{
-  return aRequest.mIncarnation != 0 && aRequest.mIncarnation < mNewest;
-}
-
 void
 incarnation_channels::ProbeForWaiting()
 {
   size_t needed = 0;
   for (const request_queue& queue : mQueues) {
     needed += size_t(
-      std::count_if(queue.begin(), queue.end(), [this](const auto& aWaiting) {
-        return aWaiting.mIncarnation != 0 && !IsOutdated(aWaiting);
+      std::count_if(queue.begin(), queue.end(), [](const auto& aWaiting) {
+        return aWaiting.mIncarnation != 0;
       }));
   }
   size_t probing = 0;
@@ -281,8 +276,8 @@
   self->mTimer = 0;
   instant oldest = Now() - milliseconds(self->mTimeoutMs);
   self->EndWaiting(
-    [self, oldest](const waiting_request& aWaiting) {
-      return aWaiting.mSince <= oldest || self->IsOutdated(aWaiting);
+    [oldest](const waiting_request& aWaiting) {
+      return aWaiting.mSince <= oldest;
     },
     http_fault::Unsent);
   self->SendWaiting();
--- a/shell/incarnation_channels.h
+++ b/shell/incarnation_channels.h
@@ -120,8 +120,6 @@
               waiting_request aRequest,
               const http_response& aResponse);
   void OnResponse(channel* aChannel, const http_response& aResponse);
-  // Whether a later incarnation than that of the request has been seen.
-  bool IsOutdated(const waiting_request& aRequest) const;
   // Probes free channels while more requests wait than probes are under way.
   // One channel is left for polls. Not called for each response: a server that
   // replies without naming its incarnation would be probed without pause.
@@ -138,7 +136,6 @@
   uint32_t mTimeoutMs;
   std::vector<std::unique_ptr<channel>> mChannels;
   std::array<request_queue, size_t(request_urgency::Count)> mQueues;
-  int64_t mNewest = 0; // incarnation seen so far
   uint64_t mUses = 0;
   uint64_t mUnsent = 0;
   uint64_t mProbes = 0;
