--- a/cactusmast/testing/orphan_lease_test.cc
+++ b/cactusmast/testing/orphan_lease_test.cc
@@ -38,8 +38,7 @@
     mExecutor.OnStopTasks(1, stop, mNow);
   }
 
-  // The backend server confirms no stop; the first entry sends heartbeats, the
-  // second one a dispatch.
+  // The backend server confirms no stop; the first entry sends heartbeats.
   void AdvanceUnconfirmed(duration aSpan)
   {
     instant end = mNow + aSpan;
@@ -126,8 +125,7 @@
 
 TEST_CASE("a stop that was held up on its way is overdue earlier")
 {
-  // Guards against a bound that begins when the stop is read, while the caller
-  // counts from its answer.
+  // Guards against a bound that counts from reading; callers do not.
   held_task world;
   world.Stop(false, world.mNow - kEndedJobStopTime);
   world.AdvanceUnconfirmed(kStopRetryInterval + milliseconds(10));
@@ -146,8 +144,7 @@
 
 TEST_CASE("the lease is extended while a task of an open job is being stopped")
 {
-  // Guards against the loss of all other tasks there, although the task is
-  // placed again only once its end is known.
+  // Guards against the needless loss of all other tasks there.
   held_task world;
   world.Stop(true, world.mNow);
   world.AdvanceUnconfirmed(milliseconds(500));
@@ -242,8 +239,7 @@
 
 TEST_CASE("tasks of ended jobs never run twice while stops get no reply")
 {
-  // Guards against tasks kept alive by an executor whose entry has answered
-  // their job or lost its caller, so that it comes again at another entry.
+  // Guards against tasks kept alive although their job comes again elsewhere.
   constexpr size_t kEntries = 2;
   constexpr size_t kServers = 4;
   for (uint32_t seed = 1; seed <= 20; seed++) {
--- a/cactusmast/testing/task_executor_restart_test.cc
+++ b/cactusmast/testing/task_executor_restart_test.cc
@@ -309,8 +309,7 @@
 
 TEST_CASE("a start that was taken back is placed again, not stopped")
 {
-  // Guards against a task that waits for the reply to a stop although it was
-  // never sent, and against a sound backend server in quarantine.
+  // Guards against a task that waits for a stop although it was never sent.
   for (int i = 0; i < 4; i++) {
     started_task world;
     world.ReplyToStart(start_result::NotSent);
@@ -323,8 +322,7 @@
 
 TEST_CASE("a start that was taken back after one without a reply is in doubt")
 {
-  // Guards against a task that is placed again while its first start may still
-  // be carried out.
+  // Guards against a second run beside a first start that is carried out late.
   started_task world;
   world.ReplyToStart(start_result::NoAnswer);
   world.ReplyToStart(start_result::NotSent);
@@ -334,8 +332,7 @@
 
 TEST_CASE("a heartbeat of a new incarnation is followed by a poll at once")
 {
-  // Guards against a restarted backend server that gets no work until a poll
-  // that its former incarnation has taken along is given up.
+  // Guards against a restarted backend server that gets no work for 100 ms.
   started_task world;
   world.ReplyToStart(start_result::Started);
   world.Advance(milliseconds(10));
